--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -1,6 +1,6 @@
 """Every decision of the balancer. Its types, events and actions: shuntlead/interface.py.
 
-The ordinary path (docs/design.md): w_i = (L_i + 1) * x_i for each eligible endpoint i, and one random
+The ordinary path: w_i = (L_i + 1) * x_i for each eligible endpoint i, and one random
 draw with odds 1 / w_i. First attempts and retries use that same draw; a request has one attempt at a time.
 """
 
@@ -492,7 +492,7 @@
         self.kind_slow[e.row.kind, e.zone] = kind + KIND_ALPHA * (slow - kind)
 
     def _log(self, topic: str, text: str) -> None:
-        # For docs/on-call.md. One line a topic in a longest deadline: a log must not become a load.
+        # The README explains the topics. One line a topic in a longest deadline: a log must not become a load.
         if self.now >= self.logged.get(topic, 0):
             self.logged[topic] = self.now + self.forget_ns
             self.actions.append(api.Log(f"{topic}: {text}"))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -606,7 +606,7 @@
     car.request(hint_ns=hint)
 
 
-# The log that docs/on-call.md relies on
+# The log, as the README explains it
 
 
 def test_trouble_is_logged_once_in_a_while() -> None:
@@ -624,8 +624,8 @@
     assert lines[0].startswith("failing: endpoint ")
 
 
-def test_each_topic_of_the_log_is_on_the_on_call_page() -> None:
-    page = (MODULE.parent.parent / "docs/on-call.md").read_text()
+def test_each_topic_of_the_log_is_in_the_readme() -> None:
+    page = (MODULE.parent.parent / "README.md").read_text()
     topics = {
         str(node.args[0].value)
         for node in ast.walk(ast.parse(MODULE.read_text()))
