--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -19,6 +19,7 @@
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 4.0  # then nothing taken can still be in time
 SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
+RESOURCES_S = 5.0  # between two lines of what is held: leaks show in the log long before they bite
 
 
 async def run(config: Config, stop: asyncio.Event, on_listening: Callable[[Address], None]) -> None:
@@ -29,8 +30,12 @@
     sidecar = Sidecar(config, endpoints)
     sidecar.listed(config.known, RosterForm.CACHED)
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
-    tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     server = Server(sidecar, config.names, settings, most)
+    tasks = [
+        loop.create_task(watch.run()),
+        loop.create_task(endpoints.sweep()),
+        loop.create_task(_log_resources(server, sidecar, endpoints)),
+    ]
     try:
         on_listening(server.listen(config.listen))
     except OSError as error:
@@ -46,6 +51,21 @@
         task.cancel()
 
 
+async def _log_resources(server: Server, sidecar: Sidecar, endpoints: Endpoints) -> None:
+    while True:
+        await asyncio.sleep(RESOURCES_S)
+        try:
+            descriptors = str(len(os.listdir("/proc/self/fd")))
+        except OSError:  # none is left for the look itself
+            descriptors = "all"
+        print(
+            f"resources: {descriptors} descriptors, {server.census()}; "
+            f"{len(endpoints.connections)} connections to endpoints; {sidecar.open} requests, "
+            f"{len(asyncio.all_tasks())} tasks",
+            file=sys.stderr,
+        )
+
+
 async def _until_signalled(config: Config) -> None:
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -7,7 +7,7 @@
 import socket
 import sys
 import time
-from collections import deque
+from collections import Counter, deque
 from contextlib import suppress
 from http import HTTPStatus
 from urllib.parse import unquote_to_bytes
@@ -82,7 +82,7 @@
         self._parser = http1.RequestParser()
         self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
         self._transport: asyncio.Transport | None = None
-        self._busy = self._closing = False
+        self._busy = self._closing = self._served = False
         self._keep_alive = True
         self._current = 0  # the driver's id of the request being worked on
 
@@ -96,6 +96,14 @@
         """Its end must wait: a request is being answered, or an answer is still on its way out."""
         return self._closing or self._busy or bool(self._queue)
 
+    @property
+    def state(self) -> str:
+        if self._closing or self._busy:
+            return "closing" if self._closing else "busy"
+        if self._parser.partial:
+            return "half-written"
+        return "between requests" if self._served else "silent"
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -159,7 +167,7 @@
             self._next()
 
     def _answer(self, answer: Answer) -> None:
-        self._busy = False
+        self._busy, self._served = False, True
         if self._closing or not self._transport:
             return
         close = not self._keep_alive or self._server.stopping
@@ -199,6 +207,11 @@
         """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
         return len(self.connections) > self._most
 
+    def census(self) -> str:
+        """For the log: what the clients' connections are at."""
+        states = Counter(connection.state for connection in self.connections)
+        return f"{len(self.connections)} clients ({', '.join(f'{n} {s}' for s, n in sorted(states.items()))})"
+
     def listen(self, address: Address) -> Address:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -76,6 +76,11 @@
         """Requests can be served: discovery has named an endpoint."""
         return bool(self._ready)
 
+    @property
+    def open(self) -> int:
+        """Requests that are owed an answer, or whose attempts have not all ended."""
+        return len(self._exchanges)
+
     # From the application -------------------------------------------------------------------------
 
     def take(self, call: Call, reply: Callable[[Answer], None]) -> int:
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -492,7 +492,7 @@
         self.kind_slow[e.row.kind, e.zone] = kind + KIND_ALPHA * (slow - kind)
 
     def _log(self, topic: str, text: str) -> None:
-        # The README explains the topics. One line a topic in a longest deadline: a log must not become a load.
+        # The README has the topics. One line a topic in a longest deadline: a log must not become a load.
         if self.now >= self.logged.get(topic, 0):
             self.logged[topic] = self.now + self.forget_ns
             self.actions.append(api.Log(f"{topic}: {text}"))
