End client connections that bring no request for 2.25 s, and admit by evicting them

Peers that sent nothing, or half a request, held their descriptors for ever: 142 silent and 192 between requests of 383 at 10.46 s. Above 160 connections the sidecar sent away whoever brought a request and kept the silent ones; now the connection that has waited longest for a request makes room.

Ruled out: a leak towards the order servers (33 to 38 connections throughout), requests that never end (0 open).

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -34,6 +34,7 @@
     tasks = [
         loop.create_task(watch.run()),
         loop.create_task(endpoints.sweep()),
+        loop.create_task(server.sweep()),
         loop.create_task(_log_resources(server, sidecar, endpoints)),
     ]
     try:
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -10,6 +10,7 @@
 from collections import Counter, deque
 from contextlib import suppress
 from http import HTTPStatus
+from math import inf
 from urllib.parse import unquote_to_bytes
 
 from anisespool import http1
@@ -23,6 +24,8 @@
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
+WAIT_S = 2.25  # for a request, or the rest of one: a peer that sends none is owed an end within 3 s
+SWEEP_S = 0.25
 LONGEST_WAIT_MS = 3_600_000
 
 
@@ -85,6 +88,7 @@
         self._busy = self._closing = self._served = False
         self._keep_alive = True
         self._current = 0  # the driver's id of the request being worked on
+        self._waits_since = time.monotonic()  # for a request, or the rest of one
 
     @property
     def idle(self) -> bool:
@@ -107,13 +111,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._server.connections.add(self)
+        self._server.admit(self)
 
     def data_received(self, data: bytes) -> None:
         if self._closing:
             return
-        now = time.monotonic_ns()
+        now, began = time.monotonic_ns(), self._parser.partial
         self._queue.extend((request, now) for request in self._parser.feed(data))
+        if self._served and self._parser.partial and not began:
+            self._waits_since = now / 1e9
         if self._parser.wants_continue and self._transport and not self._busy:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -167,7 +173,7 @@
             self._next()
 
     def _answer(self, answer: Answer) -> None:
-        self._busy, self._served = False, True
+        self._busy, self._served, self._waits_since = False, True, time.monotonic()
         if self._closing or not self._transport:
             return
         close = not self._keep_alive or self._server.stopping
@@ -190,6 +196,20 @@
             self._closing = True
             self._transport.close()
 
+    @property
+    def claim(self) -> tuple[bool, float]:
+        """Which of two that owe us a request keeps its descriptor: one that brought some, then the later."""
+        return self._served, self._waits_since
+
+    def end_wait(self, before: float = inf) -> None:
+        """Its descriptor is wanted: end the wait for a request if it began before then."""
+        if self.owed or self._waits_since >= before:
+            return
+        if self._parser.partial:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.close_if_idle()
+
 
 class Server:
     """The listener. It accepts by itself, so that nothing queued is reset when it closes."""
@@ -207,6 +227,20 @@
         """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
         return len(self.connections) > self._most
 
+    def admit(self, connection: ClientConnection) -> None:
+        """Danger: those that bring no request must not hold the places of those that do."""
+        self.connections.add(connection)
+        if self.crowded and (waiting := [c for c in self.connections if not c.owed and c is not connection]):
+            min(waiting, key=lambda c: c.claim).end_wait()
+
+    async def sweep(self) -> None:
+        """Danger: a peer may connect and send nothing, or half a request, and stay for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            before = time.monotonic() - WAIT_S
+            for connection in list(self.connections):
+                connection.end_wait(before)
+
     def census(self) -> str:
         """For the log: what the clients' connections are at."""
         states = Counter(connection.state for connection in self.connections)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from anisespool import discovery
+from anisespool import discovery, server
 from anisespool.config import load
 from anisespool.endpoints import Endpoints
 from anisespool.sidecar import Answer, Call, Sidecar
@@ -469,3 +469,71 @@
         await until(lambda: len(sidecar.discovery.connections) == 2)
         assert (await sidecar.discovery.connections[0][0].read()) == b""  # the old one is given up
         assert (await exchange(sidecar.address, raw_call())).status == 200  # by the list it has
+
+
+async def ended(reader: asyncio.StreamReader) -> bytes:
+    """All that came until the other side ended the connection."""
+    with suppress(ConnectionError):
+        return await reader.read()
+    return b""
+
+
+@limited
+async def test_a_peer_that_brings_no_request_is_ended_and_one_that_waits_for_its_answer_is_not(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert server.WAIT_S + 2 * server.SWEEP_S < 3  # what such a peer is owed
+    monkeypatch.setattr(server, "WAIT_S", 0.1)
+    monkeypatch.setattr(server, "SWEEP_S", 0.01)
+    release = asyncio.Event()
+
+    async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    async with Endpoint(held).serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        waiting = asyncio.create_task(exchange(sidecar.address, raw_call(left_ms=15_000)))
+        await until(lambda: len(endpoint.requests) == 1)
+        silent_one, _ = await asyncio.open_connection(*sidecar.address)
+        half, half_writer = await asyncio.open_connection(*sidecar.address)
+        half_writer.write(raw_call("once", body=b"abc")[:-1])
+        after_one, after_writer = await asyncio.open_connection(*sidecar.address)
+        after_writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await read_response(after_one)).status == 200
+        after_writer.write(b"GET /look/1 HTTP/1.1\r\n")
+
+        slow_one, drip = await asyncio.open_connection(*sidecar.address)
+        dripping = asyncio.create_task(_drip(drip))
+        assert await ended(silent_one) == b""
+        assert (await ended(half)).startswith(b"HTTP/1.1 408")
+        assert (await ended(after_one)).startswith(b"HTTP/1.1 408")
+        assert (await ended(slow_one)).startswith(b"HTTP/1.1 408")
+        dripping.cancel()
+        release.set()
+        assert (await waiting).status == 200
+        assert len(endpoint.requests) == 1
+
+
+async def _drip(writer: asyncio.StreamWriter) -> None:
+    """A request that never ends, a little at a time."""
+    writer.write(b"GET /look/1 HTTP/1.1\r\nX-Trace-Id: t1\r\n")
+    while not writer.is_closing():
+        writer.write(b"X-More: 1\r\n")
+        await asyncio.sleep(0.02)
+
+
+@limited
+async def test_silent_peers_take_no_descriptors_from_those_that_bring_requests(tmp_path: Path) -> None:
+    """The limit of 256 descriptors leaves 96 to clients."""
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        writer.write(raw_call())
+        assert (await read_response(reader)).status == 200
+        silent_ones = [await asyncio.open_connection(*sidecar.address) for _ in range(250)]
+        assert (await exchange(sidecar.address, raw_call())).status == 200  # all before it are accepted now
+        await until(lambda: sum(r.at_eof() or r.exception() is not None for r, _ in silent_ones) >= 150)
+        for _ in range(3):
+            writer.write(raw_call())
+            assert (await read_response(reader)).status == 200
+        for _, silent_writer in [*silent_ones, (reader, writer)]:
+            silent_writer.close()
