--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -9,7 +9,7 @@
 import sys
 from collections.abc import Callable
 
-from anisespool.config import Address, Config, ConfigError, load
+from anisespool.config import Address, Config, ConfigError, load, reload_discovery
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
 from anisespool.server import Server
@@ -22,8 +22,14 @@
 RESOURCES_S = 5.0  # between two lines of what is held: leaks show in the log long before they bite
 
 
-async def run(config: Config, stop: asyncio.Event, on_listening: Callable[[Address], None]) -> None:
-    """One sidecar from its start until `stop` is set and all that it took is answered."""
+async def run(
+    config: Config,
+    stop: asyncio.Event,
+    moves: asyncio.Queue[Address],
+    on_listening: Callable[[Address], None],
+) -> None:
+    """One sidecar from its start until `stop` is set and all that it took is answered. Discovery is watched
+    where the configuration says, and from then on where `moves` does."""
     loop = asyncio.get_running_loop()
     settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
     endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
@@ -32,7 +38,7 @@
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
     server = Server(sidecar, config.names, settings, most)
     tasks = [
-        loop.create_task(watch.run()),
+        loop.create_task(watch.follow(moves)),
         loop.create_task(endpoints.sweep()),
         loop.create_task(server.sweep()),
         loop.create_task(_log_resources(server, sidecar, endpoints)),
@@ -68,10 +74,18 @@
 
 
 async def _until_signalled(config: Config) -> None:
-    stop = asyncio.Event()
+    loop, stop, moves = asyncio.get_running_loop(), asyncio.Event(), asyncio.Queue[Address]()
+
+    def reload() -> None:
+        try:
+            moves.put_nowait(reload_discovery(os.environ))
+        except ConfigError as error:  # a bad file must not cost what works
+            print(f"anisespool: the old configuration stays: {error}", file=sys.stderr)
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await run(config, stop, lambda address: None)
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await run(config, stop, moves, lambda address: None)
 
 
 def main() -> int:
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -91,13 +91,8 @@
 
 def load(env: Mapping[str, str]) -> Config:
     """The whole configuration, or a ConfigError that names what is missing or wrong."""
-    path = _variable(env, "LB_CONFIG")
-    try:
-        with open(path, "rb") as file:
-            raw = json.load(file)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"LB_CONFIG: {error}") from None
-    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+    raw = _read_file(env)
+    if not isinstance(raw.get("settings"), dict):
         raise ConfigError("LB_CONFIG: key settings: an object is needed")
     try:
         settings = Settings.from_dict(raw["settings"])
@@ -117,6 +112,26 @@
     )
 
 
+def reload_discovery(env: Mapping[str, str]) -> Address:
+    """Where the file, replaced since the start, says that discovery is. The variable is as old as we are."""
+    try:
+        return Address.parse(_read_file(env).get("discovery"))
+    except ConfigError:
+        raise
+    except ValueError as error:
+        raise ConfigError(f"LB_CONFIG: key discovery: {error}") from None
+
+
+def _read_file(env: Mapping[str, str]) -> dict[str, Any]:
+    path = _variable(env, "LB_CONFIG")
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"LB_CONFIG: {error}") from None
+    return raw if isinstance(raw, dict) else {}
+
+
 def _variable(env: Mapping[str, str], name: str) -> str:
     if not env.get(name):
         raise ConfigError(f"{name}: not set")
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -23,11 +23,23 @@
     def __init__(
         self, address: Address, names: Names, revision: int, on_list: Callable[[MemberList], None]
     ) -> None:
-        self._address, self._names, self._on_list = address, names, on_list
+        self.address, self._names, self._on_list = address, names, on_list
         self._revision = revision
         self._buffer = b""
         self._wait_s = FIRST_WAIT_S
 
+    async def follow(self, moves: asyncio.Queue[Address]) -> None:
+        """Watch for good, each time at the address that was named last."""
+        while True:
+            self._wait_s = FIRST_WAIT_S
+            watching = asyncio.create_task(self.run())
+            try:
+                self.address = await moves.get()
+            finally:
+                watching.cancel()
+            await asyncio.wait([watching])  # two at once would share a buffer
+            print("discovery: moves to {}:{}".format(*self.address), file=sys.stderr)
+
     async def run(self) -> None:
         while True:
             try:
@@ -43,11 +55,11 @@
     async def _watch_once(self) -> None:
         self._buffer = b""
         async with asyncio.timeout(SILENCE_S):
-            reader, writer = await asyncio.open_connection(*self._address)
+            reader, writer = await asyncio.open_connection(*self.address)
         try:
             target = b"/v1/servers?stream=1&index=%d" % self._revision
             request = http1.Request(b"GET", target, {}, b"", True)
-            writer.write(http1.encode_request(request, "{}:{}".format(*self._address).encode(), {}))
+            writer.write(http1.encode_request(request, "{}:{}".format(*self.address).encode(), {}))
             parser = http1.ResponseParser(self._on_body)
             while True:
                 async with asyncio.timeout(SILENCE_S):
--- a/tests/net.py
+++ b/tests/net.py
@@ -175,7 +175,7 @@
             known.append(member(f"s-{n}", endpoint.address))
         config: Config = load(write_config(folder, discovery.address, known, **changes))
         stop, listening = asyncio.Event(), asyncio.get_running_loop().create_future()
-        task = asyncio.create_task(run(config, stop, listening.set_result))
+        task = asyncio.create_task(run(config, stop, asyncio.Queue(), listening.set_result))
         try:
             yield World(await listening, discovery, stop, task)
         finally:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,19 @@
 import pytest
 
 from anisespool.config import Address, ConfigError, load
-from tests.net import OK, Endpoint, exchange, limited, member, raw_call, read_response, until, write_config
+from tests.net import (
+    OK,
+    Discovery,
+    Endpoint,
+    exchange,
+    limited,
+    member,
+    member_list,
+    raw_call,
+    read_response,
+    until,
+    write_config,
+)
 
 NOWHERE = Address("127.0.0.1", 1)
 
@@ -91,6 +103,12 @@
             await asyncio.sleep(0.01)
 
 
+async def logged(log: asyncio.StreamReader, text: bytes) -> None:
+    """Until the program has written a line with this text."""
+    while text not in (line := await log.readline()):
+        assert line, "the log has ended"
+
+
 async def refused(address: Address) -> None:
     """Until the listener has closed. One of many tries may meet the very moment, and be reset."""
     while True:
@@ -183,3 +201,32 @@
         await process.communicate()
         assert process.returncode == 0
         never.close()
+
+
+@limited
+async def test_sighup_moves_the_watch_to_the_address_in_the_file_and_a_bad_file_changes_nothing(
+    tmp_path: Path,
+) -> None:
+    async with Endpoint().serve() as endpoint, Discovery().serve() as old, Discovery().serve() as new:
+        listen = f"127.0.0.1:{free_port()}"
+        env = write_config(tmp_path, old.address, [member("s-0", endpoint.address)], listen)
+        process, address = await start(env), Address.parse(listen)
+        await until(lambda: len(old.connections) == 1)
+        assert process.stderr
+        old.say(member_list(5, [member(name, endpoint.address) for name in ("s-0", "s-1")]))
+        await logged(process.stderr, b"is s-1 at")
+        file = Path(env["LB_CONFIG"])
+        raw = json.loads(file.read_text())
+        for bad in ("{", "[]", json.dumps(raw), json.dumps(raw | {"discovery": "nowhere"})):
+            file.write_text(bad)
+            process.send_signal(signal.SIGHUP)
+            await logged(process.stderr, b"the old configuration stays")
+        file.write_text(json.dumps(raw | {"discovery": "{}:{}".format(*new.address)}))
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(new.connections) == 1)
+        assert new.targets == [b"/v1/servers?stream=1&index=5"]  # it takes up where the old one was
+        assert len(old.connections) == 1 and await old.connections[0][0].read() == b""
+        assert (await exchange(address, raw_call())).status == 200
+        process.send_signal(signal.SIGTERM)
+        await process.communicate()
+        assert process.returncode == 0
