End clients that read no answers, and take no further request from them meanwhile

Sibling of the silent peers: answers to requests sent ahead piled up without a bound for a client that read none, and a closing connection waited for ever for its answer to be read.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -85,7 +85,7 @@
         self._parser = http1.RequestParser()
         self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
         self._transport: asyncio.Transport | None = None
-        self._busy = self._closing = self._served = False
+        self._busy = self._closing = self._served = self._unread = False
         self._keep_alive = True
         self._current = 0  # the driver's id of the request being worked on
         self._waits_since = time.monotonic()  # for a request, or the rest of one
@@ -134,9 +134,17 @@
         if self._busy and self._current:
             self._server.sidecar.client_gone(self._current)
 
+    def pause_writing(self) -> None:
+        """Danger: a client that reads no answers and sends on would fill the memory with them."""
+        self._unread = True
+
+    def resume_writing(self) -> None:
+        self._unread = False
+        self._next()
+
     def _next(self) -> None:
         """Work on what has been read, in order. A loop: an answer may come at once."""
-        while not self._busy and not self._closing:
+        while not (self._busy or self._closing or self._unread):
             if not self._queue:
                 if self._parser.error:
                     self._reject(HTTPStatus(self._parser.error))
@@ -185,7 +193,7 @@
     def _reject(self, status: HTTPStatus) -> None:
         """Danger: closing with input unread resets the connection, and the client never reads the answer.
         So end our side, and wait for the client's end a little."""
-        self._closing = True
+        self._closing, self._waits_since = True, time.monotonic()
         if self._transport:
             self._transport.write(http1.encode_response(status, close=True))
             self._transport.write_eof()
@@ -196,16 +204,25 @@
             self._closing = True
             self._transport.close()
 
+    @property
+    def may_go(self) -> bool:
+        """Nothing is owed on it, and nothing on its way out, but for a request that it has yet to bring."""
+        return not (self.owed or self._unread)
+
     @property
     def claim(self) -> tuple[bool, float]:
         """Which of two that owe us a request keeps its descriptor: one that brought some, then the later."""
         return self._served, self._waits_since
 
     def end_wait(self, before: float = inf) -> None:
-        """Its descriptor is wanted: end the wait for a request if it began before then."""
-        if self.owed or self._waits_since >= before:
+        """Its descriptor is wanted: end the wait for a request, or for the client to read its answer, if it
+        began before then."""
+        if self._busy or self._waits_since >= before or not self._transport:
             return
-        if self._parser.partial:
+        if self._closing or self._unread:
+            self._closing = True
+            self._transport.abort()
+        elif self._parser.partial:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.close_if_idle()
@@ -230,11 +247,12 @@
     def admit(self, connection: ClientConnection) -> None:
         """Danger: those that bring no request must not hold the places of those that do."""
         self.connections.add(connection)
-        if self.crowded and (waiting := [c for c in self.connections if not c.owed and c is not connection]):
+        waiting = [c for c in self.connections if c.may_go and c is not connection] if self.crowded else []
+        if waiting:
             min(waiting, key=lambda c: c.claim).end_wait()
 
     async def sweep(self) -> None:
-        """Danger: a peer may connect and send nothing, or half a request, and stay for ever."""
+        """Danger: a peer may connect and send nothing or half a request, or read no answer, and stay."""
         while True:
             await asyncio.sleep(SWEEP_S)
             before = time.monotonic() - WAIT_S
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -537,3 +537,28 @@
             assert (await read_response(reader)).status == 200
         for _, silent_writer in [*silent_ones, (reader, writer)]:
             silent_writer.close()
+
+
+@limited
+async def test_a_client_that_reads_no_answers_is_ended_before_they_fill_the_memory(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server, "WAIT_S", 0.1)
+    monkeypatch.setattr(server, "SWEEP_S", 0.01)
+    asked, body = 1000, b"x" * 65536
+    reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    async with Endpoint(reply).serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, sidecar.address)
+        with pytest.raises(ConnectionError):
+            for n in range(asked):
+                await loop.sock_sendall(client, raw_call(trace=f"t{n}", left_ms=15_000))
+            while True:  # all are sent, and the end is still to come
+                await loop.sock_sendall(client, b"x")
+                await asyncio.sleep(0.01)
+        client.close()
+        assert len(endpoint.requests) < asked / 2
+        assert (await exchange(sidecar.address, raw_call())).status == 200
