--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -5,9 +5,11 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 import sys
 from collections.abc import Callable
+from pathlib import Path
 
 from anisespool.config import Address, Config, ConfigError, load, reload_discovery
 from anisespool.discovery import Watch
@@ -63,12 +65,13 @@
         await asyncio.sleep(RESOURCES_S)
         try:
             descriptors = str(len(os.listdir("/proc/self/fd")))
+            pages = int(Path("/proc/self/statm").read_text().split()[1])
         except OSError:  # none is left for the look itself
-            descriptors = "all"
+            descriptors, pages = "all", 0
         print(
             f"resources: {descriptors} descriptors, {server.census()}; "
             f"{len(endpoints.connections)} connections to endpoints; {sidecar.open} requests, "
-            f"{len(asyncio.all_tasks())} tasks",
+            f"{len(asyncio.all_tasks())} tasks; {pages * resource.getpagesize() >> 10} KiB",
             file=sys.stderr,
         )
 
--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import select
+import sys
 import time
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 IDLE_SHARE = 0.75  # of the settings' keepalive: past it the endpoint closes, and a request on it is a reset
 MAX_IDLE = 48  # idle connections kept to one endpoint
 SWEEP_S = 1.0
+QUIET_S = 0.5  # between two lines on broken connections
 
 
 class Attempt:
@@ -90,6 +92,7 @@
         self._transport: asyncio.Transport | None = None
         self.unwritten = False  # part of the request has not left for the kernel: it can't have run
         self.idle_since = 0.0
+        self._requests = self._bytes = 0  # begun on it; of the present answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -118,6 +121,7 @@
         assert self._transport
         self._attempt, attempt.connection = attempt, self
         self._parser = http1.ResponseParser()
+        self._requests, self._bytes = self._requests + 1, 0
         self._transport.write(data)
         # A write that fails at once leaves nothing in the buffer: the closing transport is what tells.
         self.unwritten = self.unwritten or self._transport.is_closing()
@@ -134,10 +138,12 @@
         if self._attempt is None:
             self.discard()  # nobody asked
             return
+        self._bytes += len(data)
         response = self._parser.feed(data)
         if response:
             self._answered(response)
         elif self._parser.broken:
+            self._owner.log_broken(f"{self._history()}: no answer as HTTP has it: {data[:60]!r}")
             self._end(Status.CONNECT_FAILED if self.unwritten else Status.RESET)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -150,8 +156,18 @@
         if response:
             self._answered(response)
         else:
+            self._owner.log_broken(f"{self._history()}: {exc or 'ended'}")
             self._end(Status.CONNECT_FAILED if self.unwritten else Status.RESET)
 
+    def _history(self) -> str:
+        assert self._attempt
+        took_ms = (time.monotonic_ns() - self._attempt.started_ns) / 1e6
+        return (
+            f"{self._attempt.request.headers.get(b'x-trace-id', b'').decode('latin-1')} at endpoint "
+            f"{self._attempt.endpoint}, request {self._requests} on its connection, {took_ms:.0f} ms and "
+            f"{self._bytes} bytes of an answer after its start"
+        )
+
     def _answered(self, response: http1.Response) -> None:
         status = Status.ERROR
         if response.status == 200:
@@ -195,9 +211,15 @@
         self._most = most
         self._opening = 0
         self._pools: dict[int, Pool] = {}
+        self._logged_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
 
+    def log_broken(self, text: str) -> None:
+        if time.monotonic() >= self._logged_at + QUIET_S:
+            self._logged_at = time.monotonic()
+            print(f"broken: {text}", file=sys.stderr)
+
     def update(self, number: int, address: Address, started_ns: int, open_to_new: bool) -> None:
         pool = self._pools.get(number)
         if pool and (pool.address, pool.started_ns) == (address, started_ns):
