Do not take a server for stalled over a request that later ones have overtaken

One lost request, out for 1.6 s, made its server look up to 50 times slower; six servers that lost one in ten were shunned, and the two others overloaded. Ruled out: connections gone silent (time-outs on first and later requests alike) and short time-outs as samples (no gain, taken back).

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -57,7 +57,7 @@
 
 class Endpoint:
     __slots__ = ("row", "id", "zone", "weight", "ready", "out", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp")  # fmt: skip
+                 "queue", "queue_at", "since", "warm_at", "ramp", "answered")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
@@ -65,6 +65,7 @@
         self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
         self.queue = 0.0
         self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
+        self.answered = 0  # when the latest sent of the attempts that it has answered was sent
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
         self.update(row)
@@ -245,8 +246,10 @@
         if cls in e.by_class:
             own, at = e.by_class[cls]
             slow += (own - slow) * exp2((at - self.now) / (CLASS_MEMORY * self.forget_ns))
-        if e.out:  # Danger: a stalled endpoint sends no samples. Waiting for it is a sample.
-            oldest = next(iter(e.out.values()))
+        # Danger: a stalled endpoint sends no samples. Waiting for it is a sample; but what it has overtaken
+        # is one lost or long request, and an endpoint shunned for it drives the others into overload.
+        oldest = next((a for a in e.out.values() if a.sent > e.answered), None)
+        if oldest:
             slow = max(slow, min((self.now - oldest.sent) / oldest.usual, MAX_SLOWDOWN))
         return slow
 
@@ -436,6 +439,7 @@
             self._rest(req.key)
         self._on_report(event)
         if event.status is Status.OK:
+            attempt.endpoint.answered = max(attempt.endpoint.answered, attempt.sent)
             self._learn_class(req, event.latency_ns)
             self.work.add(self.now, attempt.usual)
         if event.status is not Status.MOOT:
