Refuse with Retry-After, and answer at once what can no longer be sent

Refusals said nothing of when to come back, so clients retried straight into the same overload. A keyed request past its window, which may never be sent again, was held until its deadline; one with no ready server at all, too: now the first is answered at once, the second by two fifths of its time.

--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -85,6 +85,7 @@
     may_cancel: bool = False
     may_probe: bool = False
     may_message: bool = False
+    max_retry_after_ns: int = 0  # 0: clients are not told when to come back
     connect_timeout_ns: int = 0
     discovery: str = "push"  # push or ask
     report_how: str = "silent"  # piggyback, pull or silent
@@ -121,6 +122,9 @@
             may_cancel=allowed.flag("cancel"),
             may_probe=allowed.flag("probes"),
             may_message=allowed.flag("peers"),
+            max_retry_after_ns=(
+                allowed.integer("max-retry-after-ns", 0) if allowed.flag("retry-after") else 0
+            ),
             connect_timeout_ns=allowed.integer("connect-timeout-ns", 0),
             discovery=root.text("discovery", "push"),
             report_how=report.text("how", "silent"),
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -36,6 +36,8 @@
 EXCESS_ROOM, SHARE_SLACK = 0.5, 1.5  # room for a tenant beyond its share; usage differs by that much anyhow
 MAX_VOTES = 100  # lead of a majority that tells the usual length of a client's try
 IDLE_DRIFT = 1e-4  # growth per answer of the least time known: doubles in some 7000 answers
+COME_BACK = 0.25, 0.75  # a refused client does so within these parts of the time that its retry has to spare
+HOLD_SHARE = 0.4  # of a request's time: refused then, its client still has the time for a retry
 HOLD_TRIES = 20  # a request with no eligible endpoint looks again this often within its target
 MAX_TIMER_NS = 3_600_000_000_000  # an hour: longer waits are never meant, and the wire bounds them
 
@@ -85,7 +87,8 @@
 
 
 class Pending:  # a request from its arrival until its last attempt has ended
-    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "id", "key", "limit", "streaming")
+    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "hold_until", "id", "key", "limit",
+                 "streaming")  # fmt: skip
 
     def __init__(self, event: api.Request, cls: api.RequestClass, now: int, waited: int) -> None:
         self.id, self.event, self.cls = event.request, event, cls
@@ -93,6 +96,7 @@
         self.give_up, self.aim = now + event.left_ns, now + min(target - waited, event.left_ns)
         self.limit = self.give_up if cls.late_worth else self.aim  # an answer past it is worth nothing
         self.key = event.key if cls.in_order else 0  # not 0: it takes turns with others of the key
+        self.hold_until = now + int(HOLD_SHARE * event.left_ns)  # with no endpoint that it may be sent to
         self.attempts: list[Attempt] = []
         self.done = self.streaming = False
 
@@ -336,9 +340,11 @@
             self._set_timer("hold", left if ahead else rest, req)
         elif (candidates := self._eligible(req)) and (endpoint := self._draw(req, candidates, usual)):
             self._send(req, endpoint, usual)
+        elif req.risky() or self.now >= req.hold_until:
+            self._end(req)  # no repeat may go out any more, or the client has better odds with a retry
         else:
             self._log("held", f"none of {len(self.ready)} ready endpoints may be sent to")
-            self._set_timer("hold", min(req.cls.target_ns // HOLD_TRIES, req.give_up - self.now), req)
+            self._set_timer("hold", min(req.cls.target_ns // HOLD_TRIES, req.hold_until - self.now), req)
 
     def _too_busy(self, req: Pending) -> bool:
         """Danger: past capacity all queues grow until every answer is late."""
@@ -404,9 +410,14 @@
         """The one final answer: a refusal where a retry is sure to be harmless, else a failure."""
         harmless = (not req.risky() or req.cls.effect is Effect.REPEATABLE
                     or req.cls.effect is Effect.BY_KEY and req.cls.dedup_scope == "all")  # fmt: skip
-        self.actions.append(api.Refuse(req.id) if harmless else api.Fail(req.id))
+        self.actions.append(api.Refuse(req.id, self._retry_after(req)) if harmless else api.Fail(req.id))
         self._finish(req)
 
+    def _retry_after(self, req: Pending) -> int:
+        """When a retry may fare better, yet be in time. Danger: told the same, all would come back as one."""
+        room = req.aim - self.now - int(self._usual(req))
+        return min(self.settings.max_retry_after_ns, int(max(0, room) * self.random.uniform(*COME_BACK)))
+
     def _finish(self, req: Pending) -> None:
         """Cancel what can no longer help; forget the request once its last attempt has ended."""
         if not req.done:
