At SIGTERM wait as long as the longest class deadline, not a fixed 4 s

A sidecar ended 4 s after SIGTERM whatever the settings said: confirmar may take 5 s, and what was taken and not answered by then was lost.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -19,7 +19,7 @@
 from shuntlead.interface import RosterForm
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
-LAST_S = 4.0  # then nothing taken can still be in time
+LAST_S = 0.5  # past the longest deadline of what was taken till then: nothing can still be in time
 SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
 RESOURCES_S = 5.0  # between two lines of what is held: leaks show in the log long before they bite
 
@@ -52,7 +52,7 @@
     gc.freeze()  # what start-up made stays for good: no collection need look at it
     await stop.wait()
     try:
-        async with asyncio.timeout(LAST_S):
+        async with asyncio.timeout(ACCEPT_S + max(c.deadline_ns for c in settings.classes) / 1e9 + LAST_S):
             await server.stop(ACCEPT_S)
     except TimeoutError:
         print("server: ended with connections still in use", file=sys.stderr)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -24,8 +24,10 @@
     raw_call,
     read_response,
     until,
+    world,
     write_config,
 )
+from tests.support import SECOND, raw_settings
 
 NOWHERE = Address("127.0.0.1", 1)
 
@@ -230,3 +232,22 @@
         process.send_signal(signal.SIGTERM)
         await process.communicate()
         assert process.returncode == 0
+
+
+@limited
+async def test_at_the_end_a_request_has_all_the_time_that_its_class_allows(tmp_path: Path) -> None:
+    """Danger: a fixed end would lose the requests of a class with a longer deadline."""
+    began = asyncio.get_running_loop().time()
+
+    async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(4.5)
+        writer.write(OK)
+
+    classes = [row | {"deadline-ns": 8 * SECOND} for row in raw_settings()["request-classes"]]
+    async with Endpoint(late).serve() as endpoint, world(tmp_path, endpoint, request_classes=classes) as it:
+        answer = asyncio.create_task(exchange(it.address, raw_call("once", left_ms=8000)))
+        await until(lambda: len(endpoint.requests) == 1)
+        it.stop.set()
+        assert (await answer).status == 200
+        await it.task
+    assert asyncio.get_running_loop().time() - began > 4.5
