--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -243,7 +243,7 @@
         await asyncio.sleep(4.5)
         writer.write(OK)
 
-    classes = [row | {"deadline-ns": 8 * SECOND} for row in raw_settings()["request-classes"]]
+    classes = [row | {"deadline-ns": 8 * SECOND, "late-worth": 0.5} for row in raw_settings()["request-classes"]]
     async with Endpoint(late).serve() as endpoint, world(tmp_path, endpoint, request_classes=classes) as it:
         answer = asyncio.create_task(exchange(it.address, raw_call("once", left_ms=8000)))
         await until(lambda: len(endpoint.requests) == 1)
