Ask for an announced body also behind a request that is still being answered

The 100 Continue was only sent if the connection was free when the head came; else nobody ever asked for the body. Found by reading; with the new end of waits such a request would get a 408.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -120,9 +120,6 @@
         self._queue.extend((request, now) for request in self._parser.feed(data))
         if self._served and self._parser.partial and not began:
             self._waits_since = now / 1e9
-        if self._parser.wants_continue and self._transport and not self._busy:
-            self._parser.wants_continue = False
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if len(self._queue) > MOST_PIPELINED and self._transport:
             self._transport.pause_reading()
         self._next()
@@ -149,6 +146,9 @@
             if not self._queue:
                 if self._parser.error:
                     self._reject(HTTPStatus(self._parser.error))
+                elif self._parser.wants_continue and self._transport:
+                    self._parser.wants_continue = False
+                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
             request, came_ns = self._queue.popleft()
             if self._transport and len(self._queue) <= MOST_PIPELINED:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -31,6 +31,7 @@
     member,
     member_list,
     raw_call,
+    read_head,
     read_response,
     reset,
     until,
@@ -562,3 +563,16 @@
         client.close()
         assert len(endpoint.requests) < asked / 2
         assert (await exchange(sidecar.address, raw_call())).status == 200
+
+
+@limited
+async def test_a_body_announced_behind_a_request_is_asked_for_once_that_is_answered(tmp_path: Path) -> None:
+    async with Endpoint(slow(0.1)).serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        second = raw_call("once", "t2", body=b"abc", headers="Expect: 100-continue\r\n")
+        writer.write(raw_call() + second[:-3])
+        assert (await read_head(reader)).startswith(b"HTTP/1.1 200") and await reader.readexactly(2) == b"ok"
+        assert (await read_head(reader)).startswith(b"HTTP/1.1 100")
+        writer.write(second[-3:])
+        assert (await read_response(reader)).status == 200
+        writer.close()
