Tell clients when to come back where all places are taken

The sidecar's own 503 at its limit of connections carried no Retry-After, though the settings allow one.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import random
 import socket
 import sys
 import time
@@ -162,7 +163,7 @@
             return
         if self._server.crowded:
             self._keep_alive = False
-            self._answer(Answer(503, b"too many connections\n"))
+            self._answer(Answer(503, b"too many connections\n", self._server.retry_after_s()))
             return
         try:
             call = read_call(request, self._server.names, self._server.settings)
@@ -245,6 +246,11 @@
         """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
         return len(self.connections) > self._most
 
+    def retry_after_s(self) -> float:
+        """When a place is likely to be free again. Danger: told the same, all would come back as one."""
+        wait_ns = min(self.settings.max_retry_after_ns, min(c.target_ns for c in self.settings.classes))
+        return wait_ns / 1e9 * random.uniform(0.25, 0.75)
+
     def admit(self, connection: ClientConnection) -> None:
         """Danger: those that bring no request must not hold the places of those that do."""
         self.connections.add(connection)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -17,7 +17,7 @@
 import pytest
 
 from anisespool import discovery, server
-from anisespool.config import load
+from anisespool.config import Address, load
 from anisespool.endpoints import Endpoints
 from anisespool.sidecar import Answer, Call, Sidecar
 from shuntlead import interface as api
@@ -576,3 +576,18 @@
         writer.write(second[-3:])
         assert (await read_response(reader)).status == 200
         writer.close()
+
+
+@limited
+async def test_who_finds_all_places_taken_is_told_when_to_come_back(tmp_path: Path) -> None:
+    async with Endpoint(say_nothing).serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        config = load(write_config(tmp_path, endpoint.address, []))
+        listener = server.Server(it.sidecar, config.names, config.settings, 1)
+        address = listener.listen(Address("127.0.0.1", 0))
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(raw_call(left_ms=15_000))
+        await until(lambda: len(endpoint.requests) == 1)
+        refused = await exchange(address, raw_call())
+        assert refused.status == 503 and 0 < float(refused.headers[b"retry-after"]) < 0.7
+        writer.close()
+        await listener.stop(0)
