--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -74,6 +74,7 @@
             f"{len(asyncio.all_tasks())} tasks; {pages * resource.getpagesize() >> 10} KiB",
             file=sys.stderr,
         )
+        endpoints.log_traffic()
 
 
 async def _until_signalled(config: Config) -> None:
--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -7,6 +7,7 @@
 import select
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from anisespool import http1
@@ -18,14 +19,15 @@
 IDLE_SHARE = 0.75  # of the settings' keepalive: past it the endpoint closes, and a request on it is a reset
 MAX_IDLE = 48  # idle connections kept to one endpoint
 SWEEP_S = 1.0
+MAX_LINE = 8000  # characters of the log
 QUIET_S = 0.5  # between two lines on broken connections
 
 
 class Attempt:
     """One try of a request at one endpoint, from the Send until its one status."""
 
-    __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "request",
-                 "request_id", "response", "started_ns", "status")  # fmt: skip
+    __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "pool",
+                 "request", "request_id", "response", "started_ns", "status")  # fmt: skip
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
                  on_end: Callable[[Attempt], None]) -> None:  # fmt: skip
@@ -36,6 +38,7 @@
         self.response: http1.Response | None = None
         self.load: tuple[float, ...] = ()
         self.connection: Connection | None = None
+        self.pool: Pool | None = None  # where it was sent
         loop = asyncio.get_running_loop()
         self._timer = loop.call_at(deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
 
@@ -43,6 +46,8 @@
         """The first end is the only one."""
         if self.status is None:
             self.status, self.response = status, response
+            if self.pool and status is not Status.OK:
+                self.pool.counts[status.name] += 1
             self._timer.cancel()
             self.on_end(self)
 
@@ -62,11 +67,15 @@
 class Pool:
     """What is known of one endpoint's address, and the connections to it."""
 
-    def __init__(self, address: Address, started_ns: int, open_to_new: bool) -> None:
-        self.address, self.started_ns, self.open_to_new = address, started_ns, open_to_new
+    def __init__(self, name: str, address: Address, started_ns: int, open_to_new: bool) -> None:
+        self.name, self.address = name, address
+        self.started_ns, self.open_to_new = started_ns, open_to_new
         self.heard_ns = 0  # when anything last came from it
         self.idle: list[Connection] = []  # the latest used last
         self.waiting: set[Attempt] = set()  # for a connection of their own
+        self.counts: Counter[str] = Counter()  # since the last line of the log: sends, connects, bad ends
+        self.held = 0  # connections
+        self.load: tuple[float, ...] = ()  # as last reported
 
     def close_idle(self) -> None:
         idle, self.idle = self.idle, []
@@ -99,7 +108,7 @@
         self._transport = transport
         # With no room in the buffer, pause and resume tell exactly whether anything is left in it.
         transport.set_write_buffer_limits(high=0)
-        self._owner.connections.add(self)
+        self._hold()
 
     def pause_writing(self) -> None:
         self.unwritten = True
@@ -147,8 +156,17 @@
             self._owner.log_broken(f"{self._history()}: no answer as HTTP has it: {data[:60]!r}")
             self._end(Status.CONNECT_FAILED if self.unwritten else Status.RESET)
 
+    def _hold(self) -> None:
+        self._owner.connections.add(self)
+        self._pool.held += 1
+
+    def _let_go(self) -> None:
+        if self in self._owner.connections:
+            self._owner.connections.discard(self)
+            self._pool.held -= 1
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self._owner.connections.discard(self)
+        self._let_go()
         if self in self._pool.idle:
             self._pool.idle.remove(self)
         if self._attempt is None or self._parser is None:
@@ -184,7 +202,7 @@
         self._forget_attempt()
         attempt.connection = None
         if response:
-            attempt.load = http1.parse_load(
+            attempt.load = self._pool.load = http1.parse_load(
                 response.headers.get(b"endpoint-load-metrics"), self._owner.columns
             )
         if reusable:
@@ -202,7 +220,7 @@
     def discard(self) -> None:
         """Close without flushing: the rest of a given-up request must not leave."""
         self._forget_attempt()
-        self._owner.connections.discard(self)
+        self._let_go()
         if self._transport:
             self._transport.abort()
 
@@ -223,12 +241,26 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
 
+    def log_traffic(self) -> None:
+        """One line, to be added up over the fleet: so endpoints go by the names that all sidecars know."""
+        rows = []
+        for pool in self._pools.values():
+            if pool.counts or pool.held:
+                done = f"{pool.counts['sends']}/{pool.counts['connects']}/{pool.held}"
+                bad = "+".join(f"{n}{s.name.lower()}" for s in Status if (n := pool.counts[s.name]))
+                load = ",".join(f"{value:.2g}" for value in pool.load)
+                rows.append(f"{pool.name} {done} {bad or '-'} {load or '-'}")
+                pool.counts.clear()
+        print(f"traffic: {'; '.join(rows)}"[:MAX_LINE], file=sys.stderr)
+
     def log_broken(self, text: str) -> None:
         if time.monotonic() >= self._logged_at + QUIET_S:
             self._logged_at = time.monotonic()
             print(f"broken: {text}", file=sys.stderr)
 
-    def update(self, number: int, address: Address, started_ns: int, open_to_new: bool) -> None:
+    def update(
+        self, number: int, name: str, address: Address, started_ns: int, open_to_new: bool
+    ) -> None:
         pool = self._pools.get(number)
         if pool and (pool.address, pool.started_ns) == (address, started_ns):
             if open_to_new:
@@ -239,7 +271,7 @@
         # Danger: connections of a process that is no more end as resets.
         if pool:
             pool.retire()
-        self._pools[number] = Pool(address, started_ns, open_to_new)
+        self._pools[number] = Pool(name, address, started_ns, open_to_new)
 
     def remove(self, number: int) -> None:
         if pool := self._pools.pop(number, None):
@@ -251,6 +283,8 @@
         if pool is None or not pool.open_to_new:  # rule 3, whatever was decided
             attempt.end(Status.MOOT)
             return
+        attempt.pool = pool
+        pool.counts["sends"] += 1
         while pool.idle:
             connection = pool.idle.pop()
             if connection.fresh():
@@ -261,6 +295,7 @@
             attempt.end(Status.CONNECT_FAILED)
             return
         self._opening += 1
+        pool.counts["connects"] += 1
         pool.waiting.add(attempt)
         task = asyncio.get_running_loop().create_task(self._open(pool, attempt))
         self._tasks.add(task)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -135,7 +135,7 @@
                 self._drop(member.id)
                 continue
             up = member.row.state == EndpointState.READY
-            self._endpoints.update(number, member.address, member.row.started_ns, up)
+            self._endpoints.update(number, member.id, member.address, member.row.started_ns, up)
             (self._ready.add if up else self._ready.discard)(number)
         return rows
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -30,7 +30,7 @@
 
     def __init__(self, address: Address, keepalive_ns: int = 10 * SECOND, most: int = 16) -> None:
         self.endpoints = Endpoints(("queue", "inflight"), 200 * MS, keepalive_ns, most)
-        self.endpoints.update(1, address, 0, True)
+        self.endpoints.update(1, "s-1", address, 0, True)
         self.ends: list[Attempt] = []
 
     def send(self, request: Request = GET, timeout_ns: int = 2 * SECOND, endpoint: int = 1) -> Attempt:
@@ -240,7 +240,7 @@
         driver = Driver(endpoint.address)
         await driver.result()
         waiting = [driver.send(), driver.send()]  # the first has the idle connection, the second waits
-        driver.endpoints.update(1, endpoint.address, 0, False)
+        driver.endpoints.update(1, "s-1", endpoint.address, 0, False)
         assert waiting[1].status is Status.CONNECT_FAILED
         assert driver.send().status is Status.MOOT
         await until(lambda: waiting[0].status is Status.OK)  # it finishes what it has
@@ -256,7 +256,7 @@
     async with Endpoint().serve() as old, Endpoint().serve() as new:
         driver = Driver(old.address)
         await driver.result()
-        driver.endpoints.update(1, new.address if moved else old.address, 0 if moved else 5, True)
+        driver.endpoints.update(1, "s-1", new.address if moved else old.address, 0 if moved else 5, True)
         await until(lambda: old.ended == 1)
         assert (await driver.result()).status is Status.OK
         assert (len(old.requests), len(new.requests)) == ((1, 1) if moved else (2, 0))
@@ -266,7 +266,7 @@
 async def test_connections_are_bounded_and_idle_ones_make_room() -> None:
     async with Endpoint(say_nothing).serve() as busy, Endpoint().serve() as other:
         driver = Driver(busy.address, most=2)
-        driver.endpoints.update(2, other.address, 0, True)
+        driver.endpoints.update(2, "s-2", other.address, 0, True)
         first = driver.send(endpoint=2)
         await until(lambda: first.status is Status.OK)
         held = [driver.send(), driver.send()]  # the second takes the idle one's place
@@ -353,3 +353,17 @@
         await driver.result()
         (connection,) = driver.endpoints.connections
         assert connection._parser is None
+
+
+@limited
+async def test_traffic_is_logged_by_names_that_all_sidecars_know(capsys: pytest.CaptureFixture[str]) -> None:
+    report = "Endpoint-Load-Metrics: TEXT queue=2, inflight=7\r\n"
+    async with Endpoint(answer("503 Busy", f"X-Never-Ran: 1\r\n{report}")).serve() as endpoint:
+        driver = Driver(endpoint.address)
+        for count in (1, 2):
+            driver.send()
+            await until(lambda n=count: len(driver.ends) == n)  # type: ignore[misc]
+        driver.endpoints.log_traffic()
+        driver.endpoints.log_traffic()
+    lines = capsys.readouterr().err.splitlines()
+    assert lines == ["traffic: s-1 2/1/1 2full 2,7", "traffic: s-1 0/0/1 - 2,7"]
