Refuse only where servers' reports show their cores in use

The log: 'refusing: 10 open, room 9, waits 24% of targets' 0.68 s after the start. At fault: Balancer._too_busy. It bounds open requests by the sidecar's own rate of answers in the last target (190 ms here, 4 answers), so that any burst at one of forty sidecars counts as overload of the fleet.

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -32,6 +32,7 @@
 CALM, ROOM = 0.5, 0.25  # share of the target that answers may take; part of what idle ones leave of it
 STRAIN_ALPHA, STEEP = 0.3, 0.6  # waits are learned fast, and refused in full well before all is late
 MOST_STRAIN = 0.95  # some requests go out whatever the waits, or nothing would be learned
+BUSY_ALPHA, SPARE = 0.1, 0.75  # endpoints whose cores are in use for a smaller part surely keep up
 CHANCE = 4.0  # open requests a short memory may easily have missed
 EXCESS_ROOM, SHARE_SLACK = 0.5, 1.5  # room for a tenant beyond its share; usage differs by that much anyhow
 MAX_VOTES = 100  # lead of a majority that tells the usual length of a client's try
@@ -141,6 +142,8 @@
         self.strain, self.strain_at, self.told_at = 0.0, 0, 0  # strain: as usual_share, of late, all attempts
         self.work, self.offered = Rate(settings.fall_ns), Rate(settings.fall_ns)  # answered, sent
         figures = [*settings.report_columns, "queue", "inflight"]  # past the end: not reported
+        self.busy = 1.0  # mean part of the endpoints' cores in use, by their reports of late
+        self.util_column = (*settings.report_columns, "util").index("util")
         self.load_column = figures.index("queue" if "queue" in settings.report_columns else "inflight")
         self.retry_tokens = RETRY_BURST / 5
         self.mean_queue, self.mean_weight = 0.0, 1.0
@@ -182,6 +185,8 @@
 
     def _on_report(self, event: api.Outcome | api.ProbeResult) -> None:
         e, load = self.endpoints.get(event.endpoint), event.load
+        if e and self.util_column < len(load) and 0 <= load[self.util_column] <= 2:
+            self.busy += BUSY_ALPHA * (min(load[self.util_column], 1.0) - self.busy)
         value = load[self.load_column] if self.load_column < len(load) else -1.0
         if e and 0 <= value < 1e9:  # not for nan, inf or nonsense
             e.queue, e.queue_at, e.since = value, self.now, 0
@@ -349,6 +354,8 @@
     def _too_busy(self, req: Pending) -> bool:
         """Danger: past capacity all queues grow until every answer is late."""
         age = self.now - self.started
+        if self.busy < SPARE:  # Danger: one sidecar's burst, or its few slow answers, is no overload
+            return False
         if age <= self.tightest_ns:  # a young sidecar has seen too few answers to know their rate
             return False
         part = EXCESS_ROOM if self._is_excess(req.event.tenant) else 1.0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -429,6 +429,17 @@
     assert all(answers[10:])
 
 
+def test_a_burst_is_no_overload_while_the_reports_show_free_cores() -> None:
+    """Danger: in a large fleet one sidecar's burst is no load, and its own rate tells nothing of capacity."""
+    for busy, refused in ((0.5, False), (1.0, True)):
+        car = Sidecar([listed(1), listed(2)], report__columns=["util", "queue"])
+        for _ in range(100):
+            [send] = sends(car.request())
+            car.now += 100 * MS
+            car.outcome(send, latency_ns=100 * MS, load=(busy, 0.0))
+        assert any(finals(car.request()) for _ in range(30)) is refused
+
+
 def refused_at_steady_load(took_ns: int, gap_ns: int, seconds: int = 20, **changes: Any) -> float:
     """The part refused in the second half where every answer takes `took_ns`, whatever the load."""
     car = Sidecar([listed(n) for n in range(1, 5)], **changes)
