Space calls to discovery by the fleet's size, and let only a lasting watch reset the wait

With each failed call logged: 460 answers of 503, 100 of them in the second of the restart; some sidecars had no watch from the start to 13 s. At fault: Watch._on_body reset the wait to 50 ms on the lines of any body, a 503's too, and Watch.run began with no spread; at 2 to 4 s of queue every call waited too long and cost discovery its work. Ruled out: the module (it sent by the list that it had), a cut connection (no silence was logged).

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -37,7 +37,7 @@
     endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
     sidecar = Sidecar(config, endpoints)
     sidecar.listed(config.known, RosterForm.CACHED)
-    watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
+    watch = Watch(config.discovery, config.names, config.known, settings.fleet_size, sidecar.listed)
     server = Server(sidecar, config.names, settings, most)
     tasks = [
         loop.create_task(watch.follow(moves)),
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -6,6 +6,7 @@
 import json
 import random
 import sys
+import time
 import traceback
 from collections.abc import Callable
 
@@ -13,7 +14,10 @@
 from anisespool.config import Address, MemberList, Names
 
 SILENCE_S = 5.0  # an empty line is due every 2 s: a cut-off peer says nothing, TCP does not notice
-FIRST_WAIT_S, LONGEST_WAIT_S = 0.05, 2.0  # news counts as told after 6 s
+# All sidecars lose discovery at the same moment, and it serves few calls a second. One that waits too long
+# in its queue has cost it work for nothing. So the waits grow with the fleet.
+FIRST_WAIT_S, LONGEST_WAIT_S = 0.1, 0.2  # for each sidecar of the fleet
+LEAST_LONGEST_S = 2.0  # in a small fleet
 MAX_LINE = 4 * 1024 * 1024
 
 
@@ -21,18 +25,23 @@
     """Keeps the list up to date and hands each change on, in order."""
 
     def __init__(
-        self, address: Address, names: Names, revision: int, on_list: Callable[[MemberList], None]
-    ) -> None:
+        self, address: Address, names: Names, known: MemberList, fleet_size: int,
+        on_list: Callable[[MemberList], None],
+    ) -> None:  # fmt: skip
         self.address, self._names, self._on_list = address, names, on_list
-        self._revision = revision
+        self._revision = known.revision
         self._buffer = b""
-        self._wait_s = FIRST_WAIT_S
+        self._first_s = FIRST_WAIT_S * fleet_size
+        self._longest_s = max(LONGEST_WAIT_S * fleet_size, LEAST_LONGEST_S)
+        # Danger: a release starts many at once. With no list to serve by, there is nothing to wait with.
+        self.start_delay_s = random.uniform(0.0, self._first_s) if known.members else 0.0
 
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
+        delay_s = self.start_delay_s
         while True:
-            self._wait_s = FIRST_WAIT_S
-            watching = asyncio.create_task(self.run())
+            watching = asyncio.create_task(self.run(delay_s))
+            delay_s = 0.0
             try:
                 self.address = await moves.get()
             finally:
@@ -40,17 +49,23 @@
             await asyncio.wait([watching])  # two at once would share a buffer
             print("discovery: moves to {}:{}".format(*self.address), file=sys.stderr)
 
-    async def run(self) -> None:
+    async def run(self, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        wait_s = self._first_s
         while True:
+            began = time.monotonic()
             try:
                 await self._watch_once()
             except (OSError, TimeoutError) as error:
                 print(f"discovery: {type(error).__name__}: {error}", file=sys.stderr)
             except Exception:  # Danger: whatever it was, without a watch drains are missed for good
                 traceback.print_exc()
-            # Jittered: all sidecars lose discovery at the same moment.
-            await asyncio.sleep(self._wait_s * random.uniform(0.5, 1.0))
-            self._wait_s = min(2 * self._wait_s, LONGEST_WAIT_S)
+            if time.monotonic() - began > self._longest_s:  # it was a watch, not a call that found no place
+                wait_s = self._first_s
+                await asyncio.sleep(random.uniform(0.0, wait_s))
+            else:
+                await asyncio.sleep(random.uniform(0.5, 1.0) * wait_s)
+                wait_s = min(2 * wait_s, self._longest_s)
 
     async def _watch_once(self) -> None:
         self._buffer = b""
@@ -68,7 +83,7 @@
                     return
                 parser.feed(data)
                 if parser.broken or parser.response or parser.status not in (0, 200):
-                    return
+                    raise OSError(f"the answer was {parser.status or 'no HTTP'}")
                 if len(self._buffer) > MAX_LINE:
                     raise OSError("a line without end")
         finally:
@@ -76,8 +91,6 @@
 
     def _on_body(self, data: bytes) -> None:
         *lines, self._buffer = (self._buffer + data).split(b"\n")
-        if lines:
-            self._wait_s = FIRST_WAIT_S
         for line in lines:
             if line.strip():
                 self._on_line(line)
