Carry the module's messages between sidecars as datagrams

At fault: Sidecar had no action for Tell, and no socket. Servers go by a hash of discovery's id in a datagram, as their numbers differ between sidecars. Only listed senders and whole messages count; what cannot be read no longer lowers the strain (PeerMessage.strain is below 0 where nothing was told).

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -36,6 +36,8 @@
     settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
     endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
     sidecar = Sidecar(config, endpoints)
+    if sidecar.peers:
+        await sidecar.peers.open()
     sidecar.listed(config.known, RosterForm.CACHED)
     watch = Watch(config.discovery, config.names, config.known, settings.fleet_size, sidecar.listed)
     server = Server(sidecar, config.names, settings, most)
@@ -58,6 +60,8 @@
         print("server: ended with connections still in use", file=sys.stderr)
     for task in tasks:
         task.cancel()
+    if sidecar.peers:
+        sidecar.peers.close()
 
 
 async def _log_resources(server: Server, sidecar: Sidecar, endpoints: Endpoints) -> None:
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -76,6 +76,14 @@
         return Member(str(raw["id"]), address, Listed(0, weight, cell, kind, zone, state, started))
 
 
+class PeerAddresses(NamedTuple):
+    """Where datagrams between sidecars go; `peers` are in the order of their numbers in the settings."""
+
+    listen: Address
+    peers: tuple[Address, ...]
+    all: Address | None
+
+
 @dataclass(frozen=True)
 class Config:
     name: str
@@ -87,6 +95,7 @@
     settings: Settings
     names: Names
     known: MemberList
+    peers: PeerAddresses | None  # None: the settings allow no messages, or no address was given
 
 
 def load(env: Mapping[str, str]) -> Config:
@@ -109,6 +118,7 @@
         settings=settings,
         names=names,
         known=_known(names, raw.get("known")),
+        peers=_peers(raw) if settings.may_message else None,
     )
 
 
@@ -181,3 +191,14 @@
         return names.member_list(raw)
     except ValueError as error:
         raise ConfigError(f"LB_CONFIG: key known: {error}") from None
+
+
+def _peers(raw: dict[str, Any]) -> PeerAddresses | None:
+    if not raw.get("peer_listen") or not raw.get("peers"):
+        return None
+    try:
+        peers = tuple(Address.parse(text) for text in raw["peers"])
+        everyone = Address.parse(raw["peers_all"]) if raw.get("peers_all") else None
+        return PeerAddresses(Address.parse(raw["peer_listen"]), peers, everyone)
+    except (TypeError, ValueError) as error:
+        raise ConfigError(f"LB_CONFIG: keys peer_listen, peers, peers_all: {error}") from None
--- /dev/null
+++ b/anisespool/peers.py
@@ -0,0 +1,87 @@
+"""Datagrams between sidecars. What comes is only hearsay: whatever is not as it should be is dropped."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from typing import cast
+
+from anisespool.config import PeerAddresses
+from shuntlead import interface as api
+from shuntlead.gossip import decode_peer, encode_peer
+
+MAX_DATAGRAM = 256  # a longer one voids the run
+RELEASE = b"\x01"  # of the form of the messages; one that begins otherwise is another release's
+QUIET_S = 5.0  # between two lines of the log
+
+
+def shared_id(member_id: str) -> int:
+    """A server's number in a datagram, the same at every sidecar: those that the module uses are not."""
+    return int.from_bytes(hashlib.blake2b(member_id.encode(), digest_size=4).digest(), "big")
+
+
+class Peers(asyncio.DatagramProtocol):
+    """The socket of one sidecar for messages from and to the others."""
+
+    def __init__(self, addresses: PeerAddresses, on_message: Callable[[api.PeerMessage], None]) -> None:
+        self._addresses, self._on_message = addresses, on_message
+        self._senders = {address: number for number, address in enumerate(addresses.peers)}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._full = False  # the kernel takes no more for now: an old message is worth nothing
+        self._logged_at, self._dropped = 0.0, 0
+
+    async def open(self) -> None:
+        """Danger: messages are a help, no need. Without them the sidecar still serves."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_datagram_endpoint(lambda: self, local_addr=self._addresses.listen)
+        except OSError as error:
+            print(f"peers: {error}", file=sys.stderr)
+
+    def close(self) -> None:
+        if self._transport:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # In Python 3.11 the loop's transport is a DatagramTransport in all but its class.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def tell(self, peer: int, strain: float, sightings: tuple[api.Sighting, ...]) -> None:
+        """To one sidecar by its number, or to all (-1)."""
+        to = self._addresses.all if peer < 0 else None
+        if 0 <= peer < len(self._addresses.peers):
+            to = self._addresses.peers[peer]
+        if to is None or self._transport is None or self._full:
+            return
+        data = RELEASE + encode_peer(strain, sightings)
+        if len(data) <= MAX_DATAGRAM:
+            with suppress(OSError):  # may be lost at any time
+                self._transport.sendto(data, to)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = self._senders.get(addr)  # type: ignore[call-overload]  # an Address equals its tuple
+        message = decode_peer(sender, data[1:]) if sender is not None and data[:1] == RELEASE else None
+        if message is None or len(data) > MAX_DATAGRAM:
+            self._drop(len(data), addr)
+        else:
+            self._on_message(message)
+
+    def pause_writing(self) -> None:
+        self._full = True
+
+    def resume_writing(self) -> None:
+        self._full = False
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer is down; it may be back."""
+
+    def _drop(self, size: int, addr: tuple[str, int]) -> None:
+        self._dropped += 1
+        if time.monotonic() >= self._logged_at + QUIET_S:
+            self._logged_at = time.monotonic()
+            text = f"peers: {self._dropped} dropped so far, this one of {size} bytes from {addr}"
+            print(text, file=sys.stderr)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -14,6 +14,7 @@
 from anisespool import http1
 from anisespool.config import Config, MemberList
 from anisespool.endpoints import Attempt, Endpoints
+from anisespool.peers import Peers, shared_id
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
@@ -61,15 +62,18 @@
         self._endpoints = endpoints
         self._exchanges: dict[int, _Exchange] = {}
         self._numbers: dict[str, int] = {}  # endpoint id -> its number; one that is gone never returns
+        self._shared: dict[int, int] = {}  # number -> what peers call it
+        self._by_shared: dict[int, int] = {}
         self._ready: set[int] = set()
         self._next_request = self._next_number = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._complained_at = 0.0
+        self.peers = Peers(config.peers, self._heard) if config.peers else None
         self._actions: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Log: self._log, api.Fault: self._log,
-            api.CloseIdle: self._close_idle}  # fmt: skip
+            api.CloseIdle: self._close_idle, api.Tell: self._tell}  # fmt: skip
 
     @property
     def ready(self) -> bool:
@@ -127,6 +131,8 @@
             if member.id not in self._numbers:
                 self._next_number += 1
                 self._numbers[member.id] = self._next_number
+                self._shared[self._next_number] = shared_id(member.id)
+                self._by_shared[shared_id(member.id)] = self._next_number
                 place = "{}:{}".format(*member.address)  # the module's lines name it by its number
                 print(f"driver: endpoint {self._next_number} is {member.id} at {place}", file=sys.stderr)
             number = self._numbers[member.id]
@@ -141,9 +147,25 @@
 
     def _drop(self, member_id: str) -> None:
         number = self._numbers.pop(member_id)
+        self._by_shared.pop(self._shared.pop(number), None)
         self._ready.discard(number)
         self._endpoints.remove(number)
 
+    # Other sidecars ------------------------------------------------------------------------------
+
+    def _tell(self, action: api.Tell) -> None:
+        if self.peers:
+            told = (s._replace(endpoint=self._shared[s.endpoint]) for s in action.sightings)
+            self.peers.tell(action.peer, action.strain, tuple(told))
+
+    def _heard(self, message: api.PeerMessage) -> None:
+        """Danger: a server that discovery has not named here yet must not be sent to on hearsay."""
+        known = self._by_shared
+        seen = tuple(
+            s._replace(endpoint=known[s.endpoint]) for s in message.sightings if s.endpoint in known
+        )
+        self._handle(message._replace(sightings=seen))
+
     # The module -----------------------------------------------------------------------------------
 
     def _handle(self, event: api.Event) -> None:
--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -281,7 +281,7 @@
 
 class PeerMessage(NamedTuple):
     sender: int
-    strain: float = 0.0  # waits of late: 0 as in an idle fleet, 1 all targets missed
+    strain: float = -1.0  # waits of late: 0 as in an idle fleet, 1 all targets missed, below 0 not told
     sightings: tuple[Sighting, ...] = ()
 
 
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -206,7 +206,8 @@
 
     def _on_peer(self, message: api.PeerMessage) -> None:
         """What a peer saw later than this sidecar takes the place of what it knew."""
-        self._strain(max(0.0, min(1.0, message.strain)), 0.5)
+        if message.strain >= 0:  # else it was no message that we can read
+            self._strain(min(1.0, message.strain), 0.5)
         for seen in message.sightings:
             e, at = self.endpoints.get(seen.endpoint), self.now - max(0, seen.age_ns)
             if e and at > max(e.slow_at, e.row.started_ns) and 0 < seen.slow < 1e9:
--- a/shuntlead/wire.py
+++ b/shuntlead/wire.py
@@ -4,10 +4,10 @@
 
 import struct
 from collections.abc import Callable
-from math import log2
 from typing import NamedTuple, Union
 
 from shuntlead import interface as api
+from shuntlead.gossip import decode_peer, encode_peer
 
 BATCH_HEADER = struct.Struct("<IIQ")
 CLOCK_BYTES = 8  # the clock follows the length field and is counted by it
@@ -27,9 +27,6 @@
 _PROBED = struct.Struct("<IBIQB")
 _FROM_PEER = struct.Struct("<IHH")
 
-_SIGHTING = struct.Struct("<IBBB")
-_STEPS, _AGE_NS = 16, 50_000_000  # a peer message's figures: steps to a doubling, and its unit of age
-
 _HINT_VALID, _IS_RETRY, _IS_WRITE = 1, 2, 4
 _EVERY_PEER = 0xFFFFFFFF
 _MAX_TEXT = 1000
@@ -174,37 +171,7 @@
 def _read_from_peer(body: bytes, at: int) -> _Read:
     instance, sender, size = _FROM_PEER.unpack_from(body, at)
     data, end = _take(body, at + _FROM_PEER.size, size)
-    return instance, _decode_peer(sender, data), end
-
-
-_SLOW = tuple(2.0 ** (n / _STEPS - 4) for n in range(256))  # a byte's value: 1/16 to 3800
-_QUEUE = tuple(2.0 ** (n / _STEPS) - 1 for n in range(256))
-
-
-def _decode_peer(sender: int, data: bytes) -> api.PeerMessage:
-    """A peer may run another release: what is no message of this one says nothing."""
-    if not data or (len(data) - 1) % _SIGHTING.size:
-        return api.PeerMessage(sender)
-    rows = _SIGHTING.iter_unpack(data[1:])
-    seen = tuple([api.Sighting(n, _SLOW[slow], _QUEUE[queue], age * _AGE_NS) for n, slow, queue, age in rows])
-    return api.PeerMessage(sender, data[0] / 255, seen)
-
-
-def _byte(value: float) -> int:
-    return max(0, min(255, round(value)))
-
-
-def _encode_peer(strain: float, sightings: tuple[api.Sighting, ...]) -> bytes:
-    rows = [
-        _SIGHTING.pack(
-            s.endpoint,
-            _byte(_STEPS * (log2(max(s.slow, 1e-9)) + 4)),
-            _byte(_STEPS * log2(s.queue + 1)),
-            _byte(s.age_ns / _AGE_NS),
-        )
-        for s in sightings[: api.MAX_SIGHTINGS]
-    ]
-    return bytes((_byte(255 * strain),)) + b"".join(rows)
+    return instance, decode_peer(sender, data) or api.PeerMessage(sender), end
 
 
 _READERS: dict[int, Callable[[bytes, int], _Read]] = {
@@ -262,7 +229,7 @@
         case api.Watch(active):
             return _STREAM.pack(1070, instance, active)
         case api.Tell(peer, strain, sightings):
-            data = _encode_peer(strain, sightings)
+            data = encode_peer(strain, sightings)
             target = _EVERY_PEER if peer < 0 else peer
             return _SIGNAL.pack(1100, instance, target, len(data)) + data
         case api.Probe(endpoint):
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,116 @@
+"""Messages between sidecars, as datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import Callable
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from anisespool.config import Address, ConfigError, MemberList, PeerAddresses, load
+from anisespool.endpoints import Endpoints
+from anisespool.peers import MAX_DATAGRAM, Peers, shared_id
+from anisespool.sidecar import Sidecar
+from shuntlead import interface as api
+from tests.net import limited, member, until, write_config
+from tests.support import MS, SECOND
+
+SEEN = tuple(api.Sighting(shared_id(f"s-{n}"), 2.0, 3.0, 100 * MS) for n in range(api.MAX_SIGHTINGS))
+
+
+def free_addresses(count: int) -> list[Address]:
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    addresses = [Address(*each.getsockname()) for each in sockets]
+    for each in sockets:
+        each.close()
+    return addresses
+
+
+async def opened(addresses: list[Address], number: int, heard: Callable[[api.PeerMessage], None]) -> Peers:
+    peers = Peers(PeerAddresses(addresses[number], tuple(addresses), addresses[1]), heard)
+    await peers.open()
+    return peers
+
+
+@limited
+async def test_a_message_reaches_its_peer_from_the_number_of_its_sender() -> None:
+    addresses, heard = free_addresses(2), list[api.PeerMessage]()
+    first, second = await opened(addresses, 0, lambda m: None), await opened(addresses, 1, heard.append)
+    for peer in (1, -1):  # -1: all
+        first.tell(peer, 0.5, SEEN)
+        await until(lambda: bool(heard))
+        message = heard.pop()
+        assert (message.sender, len(message.sightings)) == (0, api.MAX_SIGHTINGS)
+        assert message.strain == pytest.approx(0.5, abs=0.01)
+        assert message.sightings[3].endpoint == shared_id("s-3")
+    first.tell(7, 0.5, SEEN)  # there is none
+    first.close()
+    second.close()
+
+
+@limited
+async def test_what_is_no_message_is_dropped_and_changes_nothing(capsys: pytest.CaptureFixture[str]) -> None:
+    addresses, heard = free_addresses(3), list[api.PeerMessage]()
+    listener = await opened(addresses[:2], 1, heard.append)
+    sender, foreign = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+    with closing(sender), closing(foreign):
+        sender.bind(addresses[0])
+        foreign.bind(addresses[2])
+        foreign.sendto(b"\x01\x80", addresses[1])  # well-formed, but from nobody that is listed
+        junk = [b"", b"\x01", b"\x02\x80", b"\x01\x80abc", b"\x01\x80" + b"\0" * 7 * 37, b"x" * 9000]
+        for data in (*junk, *(os.urandom(MAX_DATAGRAM) for _ in range(200))):
+            sender.sendto(data, addresses[1])
+        while not heard:  # what comes behind them is heard
+            sender.sendto(b"\x01\x80", addresses[1])
+            await asyncio.sleep(0.005)
+    assert all(not message.sightings and message.strain == pytest.approx(0.5, abs=0.01) for message in heard)
+    assert len(capsys.readouterr().err.splitlines()) == 1
+    listener.close()
+
+
+class Module:
+    def __init__(self) -> None:
+        self.events: list[api.Event] = []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        return []
+
+
+def test_sidecars_that_number_servers_differently_mean_the_same_ones(tmp_path: Path) -> None:
+    config = load(write_config(tmp_path, Address("127.0.0.1", 9), []))
+    sidecar, module = Sidecar(config, Endpoints(("queue",), 100 * MS, SECOND, 16)), Module()
+    sidecar._balancer = module  # type: ignore[assignment]
+    members = [member(name, Address("127.0.0.1", 9)) for name in ("s-5", "s-3")]
+    sidecar.listed(config.names.member_list({"revision": 2, "complete": True, "members": members}))
+    sidecar._heard(api.PeerMessage(1, 0.5, SEEN))
+    message = module.events[-1]
+    assert isinstance(message, api.PeerMessage)
+    assert [s.endpoint for s in message.sightings] == [2, 1]  # s-3, s-5; it was told of no others
+    sidecar.listed(MemberList(3, True, ()))
+    sidecar._heard(api.PeerMessage(1, 0.5, SEEN))
+    assert module.events[-1] == api.PeerMessage(1, 0.5, ())
+
+
+def test_the_addresses_of_peers_are_read_where_the_settings_allow_messages(tmp_path: Path) -> None:
+    where = [f"127.0.0.1:{port}" for port in (1, 2, 3)]
+    given: dict[str, Any] = {"peer_listen": where[0], "peers": [where[1]], "peers_all": where[2]}
+    for allowed, expected in (
+        (True, PeerAddresses(Address("127.0.0.1", 1), (Address("127.0.0.1", 2),), Address("127.0.0.1", 3))),
+        (False, None),
+    ):
+        env = write_config(tmp_path, Address("127.0.0.1", 9), [], allowed__peers=allowed)
+        file = Path(env["LB_CONFIG"])
+        file.write_text(json.dumps(json.loads(file.read_text()) | given))
+        assert load(env).peers == expected
+    file.write_text(file.read_text().replace('"peers": false', '"peers": true').replace("0.0.1:2", "0.0.1:x"))
+    with pytest.raises(ConfigError, match="peers"):
+        load(env)
