Weigh the handshake of a new connection in the draw by its price in the settings

A handshake costs it 10 to 16 ms of work, a fuller table a part of its capacity, and the request its time. At fault: Balancer._draw knew of no connections, so each of 40 sidecars spread some 25 requests a second over all 47 to 60 servers. A server with no free connection now weighs more by the handshake's price, as one in another zone does by the price of crossing. The module counts connections by its own sends and outcomes. Ruled out: concurrency (held stayed far under one for each pair of sidecar and server), idle closing (60 s).

--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -93,6 +93,9 @@
     warm_keys: bool = False
     tenants: tuple[Tenant, ...] = ()
     price_cross_zone: float = 0.0
+    price_handshake: float = 0.0
+    streams_per_conn: int = 1  # attempts that a connection carries at a time
+    keepalive_ns: int = 60_000_000_000  # an idle connection is closed after it
 
     @classmethod
     def from_dict(cls, raw: dict[str, Any]) -> Settings:
@@ -135,6 +138,9 @@
                 for t in root.children("tenants", required=False)
             ),
             price_cross_zone=prices.number("cross-zone", 0.0),
+            price_handshake=prices.number("handshake", 0.0),
+            streams_per_conn=max(1, allowed.integer("streams-per-conn", 1)),
+            keepalive_ns=allowed.integer("keepalive-ns", 60_000_000_000),
         )
 
 
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -60,7 +60,7 @@
 
 class Endpoint:
     __slots__ = ("row", "id", "zone", "weight", "ready", "out", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp", "answered")  # fmt: skip
+                 "queue", "queue_at", "since", "warm_at", "ramp", "answered", "held", "held_at")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
@@ -68,6 +68,7 @@
         self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
         self.queue = 0.0
         self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
+        self.held = self.held_at = 0  # connections as far as is known, and when one was last of use
         self.answered = 0  # when the latest sent of the attempts that it has answered was sent
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
@@ -220,6 +221,7 @@
         s = self.settings
         took = usual * max(1.0, sum(self.kind_slow.values()) / max(1, len(self.kind_slow)))  # of late
         away = 1 + s.price_cross_zone * PRICE_WAIT * req.cls.target_ns / took
+        fresh = 1 + s.price_handshake * PRICE_WAIT * req.cls.target_ns / took
         warm, gather = self._warm(req.event.key, candidates), max(1.0, WARM_KEY * len(candidates))
         odds, cold = [], False
         for e in candidates:
@@ -231,6 +233,8 @@
                 cold = True
             if e.zone != s.zone:
                 w *= away
+            if len(e.out) >= e.held * s.streams_per_conn or self.now - e.held_at >= s.keepalive_ns / 2:
+                w *= fresh  # Danger: handshakes and full tables of connections take the endpoints' capacity
             odds.append(1 / max(w / gather if e is warm else w, 1e-9))
         nowhere = self._cap_cold(candidates, odds) if cold else 0.0
         return self.random.choices([*candidates, None], [*odds, nowhere])[0]
@@ -396,6 +400,8 @@
         endpoint.out[req.id, len(req.attempts)] = attempt = Attempt(endpoint, self.now, usual)
         req.attempts.append(attempt)
         endpoint.since += 1
+        if len(endpoint.out) > endpoint.held * self.settings.streams_per_conn:
+            endpoint.held, endpoint.held_at = endpoint.held + 1, self.now
         self.offered.add(self.now, usual)
 
     def _patience(self, req: Pending, usual: float) -> int:
@@ -453,7 +459,12 @@
         if req is None or attempt is None or not attempt.open:
             return
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
-        attempt.endpoint.out.pop((req.id, event.attempt), None)
+        e = attempt.endpoint
+        e.out.pop((req.id, event.attempt), None)
+        if event.status in (Status.OK, Status.ERROR, Status.FULL):
+            e.held_at = self.now
+        elif self.settings.streams_per_conn == 1 and e.held:
+            e.held -= 1  # to give an attempt up is to close its connection
         if req.key and event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED):
             self._rest(req.key)
         self._on_report(event)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -906,3 +906,26 @@
                 car.now += 10 * MS
                 car.outcome(send, latency_ns=10 * MS)
         assert 100 < max(counts.values()) < 250
+
+
+def again_at_the_first(busy: bool, status: Status = Status.OK, seeds: int = 60, **changes: Any) -> int:
+    """Of so many sidecars, those that send their second request where they sent the first."""
+    same = 0
+    for seed in range(seeds):
+        car = Sidecar([listed(1), listed(2)], seed, **changes)
+        [first] = sends(car.request(2))
+        car.now += 50 * MS
+        if not busy:
+            car.outcome(first, status)
+        [second] = sends(car.request(2))
+        same += second.endpoint == first.endpoint
+    return same
+
+
+def test_an_endpoint_with_a_free_connection_is_preferred_by_the_price_of_a_handshake() -> None:
+    """Danger: in a large fleet each sidecar's few requests would open connections to all endpoints."""
+    assert 15 <= again_at_the_first(False) <= 45
+    assert again_at_the_first(False, prices__handshake=0.08) > 50
+    assert again_at_the_first(True, prices__handshake=0.08) < 45  # its one connection is in use
+    assert again_at_the_first(False, Status.RESET, prices__handshake=0.08) < 45  # it is gone
+    assert again_at_the_first(True, prices__handshake=0.08, allowed__streams_per_conn=2) > 40
