Weigh a cold server by its answers once there are some, not by its ramp as well

At fault: Balancer._draw divided by the slowest ramp that is guaranteed though the response times, the server's own, already show how cold it is. The ramp now stands in only until the first answer is known; Balancer._cap_cold bounds the share as before, so the rule on cold servers keeps its margin. Ruled out: late news (a new server was listed everywhere within 0.5 s), the cap (1.5 times a ramp's share). A guess before it, that an old good answer of a class hides a bad server, changed nothing and was taken back.

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -229,7 +229,8 @@
             if self.now < e.warm_at:  # the slowest ramp that is guaranteed
                 age = max(0, self.now - e.row.started_ns)
                 e.ramp = s.start_capacity + (1 - s.start_capacity) * age / s.cold_ns
-                w /= e.ramp
+                if not e.slow_at:  # else its answers tell how much slower it is
+                    w /= e.ramp
                 cold = True
             if e.zone != s.zone:
                 w *= away
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -522,6 +522,19 @@
     assert got < 2.5 * 0.5 * fair
 
 
+def test_a_cold_endpoint_is_weighed_by_its_answers_once_there_are_some() -> None:
+    """Danger: its coldness would count twice, and replacements idle beside endpoints that are full."""
+    rows, chosen = [listed(n) for n in range(1, 6)], []
+    for seed in range(4):
+        car = Sidecar(rows, seed)
+        car.serve(200, latency_ns=5 * MS)
+        car.roster([listed(5, started_ns=car.now - 5 * SECOND)])  # half its time to warm up
+        car.balancer.endpoints[5].slow, car.balancer.endpoints[5].slow_at = 1.0, car.now
+        chosen += car.serve(300, latency_ns=5 * MS)
+    # As fast as the others, a fifth is its due; by the slowest ramp, 0.7 of its capacity, it would have 0.14.
+    assert share(chosen, 5) > 0.17
+
+
 def test_a_zone_back_cold_does_not_draw_all_local_traffic() -> None:
     rows = [listed(n, zone=n % 2) for n in range(1, 9)]
     got = cold_work(rows, {2, 4, 6, 8}, 5 * MS)
