Widen the cap on cold servers where their own reports show free cores

At fault: Balancer._cap_cold held each new server to 0.6 of the rule by the slowest ramp, cut once more by the part of the work that is answered, while its reports showed most of its core free. Now the planned part of the rule, 0.6, is divided by the mean util that cold servers report, and never passes the rule itself; without such reports, or as they age, it is 0.6 as before. Ruled out: late news (the new are sent to within a second of their listing), the draw (their x is lower).

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -144,6 +144,7 @@
         self.work, self.offered = Rate(settings.fall_ns), Rate(settings.fall_ns)  # answered, sent
         figures = [*settings.report_columns, "queue", "inflight"]  # past the end: not reported
         self.busy = 1.0  # mean part of the endpoints' cores in use, by their reports of late
+        self.cold_busy, self.cold_at = 1.0, 0
         self.util_column = (*settings.report_columns, "util").index("util")
         self.load_column = figures.index("queue" if "queue" in settings.report_columns else "inflight")
         self.retry_tokens = RETRY_BURST / 5
@@ -187,12 +188,20 @@
     def _on_report(self, event: api.Outcome | api.ProbeResult) -> None:
         e, load = self.endpoints.get(event.endpoint), event.load
         if e and self.util_column < len(load) and 0 <= load[self.util_column] <= 2:
-            self.busy += BUSY_ALPHA * (min(load[self.util_column], 1.0) - self.busy)
+            util = min(load[self.util_column], 1.0)
+            self.busy += BUSY_ALPHA * (util - self.busy)
+            if self.now < e.warm_at:
+                known = self._cold_busy()
+                self.cold_busy, self.cold_at = known + BUSY_ALPHA * (util - known), self.now
         value = load[self.load_column] if self.load_column < len(load) else -1.0
         if e and 0 <= value < 1e9:  # not for nan, inf or nonsense
             e.queue, e.queue_at, e.since = value, self.now, 0
             self.mean_queue += ALPHA * (value - self.mean_queue)
 
+    def _cold_busy(self) -> float:
+        """Mean part of cold endpoints' cores in use, by their reports; it fades to 1, as where none came."""
+        return 1 + (self.cold_busy - 1) * exp2((self.cold_at - self.now) / self.forget_ns)
+
     def _tell_peer(self) -> None:
         """Danger: one of many sidecars hears too little of any endpoint by itself."""
         s = self.settings
@@ -298,7 +307,9 @@
         s, total = self.settings, sum(odds)
         size = sum(e.weight * (e.ramp if self.now < e.warm_at else 1.0) for e in candidates) or 1.0
         sound = min(1.0, self.work.read(self.now) / (self.offered.read(self.now) or 1.0))
-        part, over, warm = total * COLD_SHARE * s.fall_multiple * sound / size, 0.0, []
+        # Free cores in their reports show that they bear more: the ramp is the slowest that is guaranteed.
+        plan = COLD_SHARE / max(COLD_SHARE, self._cold_busy())
+        part, over, warm = total * plan * s.fall_multiple * sound / size, 0.0, []
         for n, e in enumerate(candidates):
             if self.now >= e.warm_at:
                 warm.append(n)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -589,6 +589,26 @@
     assert nowhere >= 0
 
 
+def test_free_cores_of_cold_endpoints_widen_their_cap_up_to_the_rule() -> None:
+    """Danger: the slowest ramp that is guaranteed leaves replacements idle beside endpoints that are full."""
+    shares = []
+    for util in (None, 1.0, 0.8, 0.0):
+        car = Sidecar([listed(n) for n in range(1, 5)], report__columns=["util", "queue"])
+        car.serve(200, latency_ns=10 * MS)
+        car.roster([listed(4, started_ns=car.now)])
+        for _ in range(50 if util is not None else 0):
+            load = (util, 0.0)
+            car.balancer.handle(car.now, api.ProbeResult(4, Status.OK, MS, load))  # type: ignore[arg-type]
+        car.balancer.endpoints[4].ramp = 0.25
+        odds = [1.0, 1.0, 1.0, 9.0]
+        car.balancer._cap_cold(list(car.balancer.endpoints.values()), odds)
+        shares.append(odds[3] / sum(odds))
+    untold, full, busy, idle = shares
+    assert full == pytest.approx(untold, rel=0.02)
+    assert busy == pytest.approx(1.25 * full, rel=0.02)
+    assert busy < idle <= 2.5 * 0.25 / 3.25 * 1.001  # the rule's multiple of the part that it can bear
+
+
 def test_sidecars_that_send_little_use_a_cold_endpoint_too() -> None:
     """Danger: a part of a request for each window is none at all, and replacements stand idle till warm."""
     hits = 0
