--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -237,6 +237,7 @@
         self._most = most
         self._opening = 0
         self._pools: dict[int, Pool] = {}
+        self._left: list[Pool] = []  # removed or replaced since the last line of the log
         self._logged_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
@@ -244,13 +245,14 @@
     def log_traffic(self) -> None:
         """One line, to be added up over the fleet: so endpoints go by the names that all sidecars know."""
         rows = []
-        for pool in self._pools.values():
+        for pool in (*self._pools.values(), *self._left):
             if pool.counts or pool.held:
                 done = f"{pool.counts['sends']}/{pool.counts['connects']}/{pool.held}"
                 bad = "+".join(f"{n}{s.name.lower()}" for s in Status if (n := pool.counts[s.name]))
                 load = ",".join(f"{value:.2g}" for value in pool.load)
                 rows.append(f"{pool.name} {done} {bad or '-'} {load or '-'}")
                 pool.counts.clear()
+        self._left.clear()
         print(f"traffic: {'; '.join(rows)}"[:MAX_LINE], file=sys.stderr)
 
     def log_broken(self, text: str) -> None:
@@ -270,11 +272,13 @@
             return
         # Danger: connections of a process that is no more end as resets.
         if pool:
+            self._left.append(pool)
             pool.retire()
         self._pools[number] = Pool(name, address, started_ns, open_to_new)
 
     def remove(self, number: int) -> None:
         if pool := self._pools.pop(number, None):
+            self._left.append(pool)
             pool.retire()
 
     def send(self, attempt: Attempt) -> None:
