--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -962,3 +962,23 @@
     assert again_at_the_first(True, prices__handshake=0.08) < 45  # its one connection is in use
     assert again_at_the_first(False, Status.RESET, prices__handshake=0.08) < 45  # it is gone
     assert again_at_the_first(True, prices__handshake=0.08, allowed__streams_per_conn=2) > 40
+
+
+def test_a_failed_connect_repels_more_than_a_slow_answer() -> None:
+    """Danger: the refusals of a lost zone use up the re-sends that its requests need."""
+    failed = 0
+    for seed in range(10):
+        car = Sidecar([listed(n) for n in range(1, 5)], seed)
+        car.serve(100, latency_ns=500 * MS, cls=2)  # a quarter of the deadline, as a failure counts
+        for _ in range(40):
+            car.now += 5 * MS
+            [send] = sends(car.request(2))
+            if send.endpoint == 4:
+                failed += 1
+                [again] = sends(car.outcome(send, Status.CONNECT_FAILED, latency_ns=MS))
+                car.outcome(again, attempt=1, latency_ns=500 * MS)
+            else:
+                car.outcome(send, latency_ns=500 * MS)
+        unheard = car.balancer._typical(car.balancer.endpoints[4])
+        assert unheard == pytest.approx(1.0, abs=0.3)  # the failing one says nothing of its kind
+    assert 5 < failed < 20  # of 400, where 100 would be its even share
