--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -19,7 +19,7 @@
 FAIL_ALPHA = 0.6  # the same of a failure: rarer than answers, and worth more
 KIND_ALPHA = 0.1  # a kind's mean moves over some 10 answers: it stands for endpoints unheard of
 CLASS_ALPHA = 0.02  # a class's usual time moves over some 50 answers: slower than any endpoint's
-NOBODY = 10.0  # slowdown from which on an endpoint is taken for gone, not for slow
+NOBODY = 25.0  # slowdown from which on an endpoint is taken for gone, not for slow
 MAX_SLOWDOWN = 50.0  # bound on one sample, in usual response times: one stall must not starve for ever
 FEWEST = 12  # endpoints in a sidecar's draw, however little it sends: some of each zone and kind
 CLASS_MEMORY = 8  # an endpoint's answers in one class are rarer, and remembered that much longer
@@ -531,6 +531,7 @@
         if event.status is Status.CONNECT_FAILED:
             # Nobody is there, for any class. Danger: as one slow answer each, the refusals of a lost zone
             # would use up the re-sends that its requests need.
+            e.by_class.clear()  # or their good answers would hide it
             self._learn(e, before + FAIL_ALPHA * (MAX_SLOWDOWN - before), self.now)
             self._tell_peer()
             return
@@ -542,8 +543,7 @@
 
     def _learn(self, e: Endpoint, slow: float, at: int) -> None:
         e.slow, e.slow_at, kind = slow, at, self._typical(e)
-        if slow >= NOBODY:  # it says nothing of its kind, and what its classes knew must not hide it
-            e.by_class.clear()
+        if slow >= NOBODY:  # it says nothing of its kind, whose odds those unheard of would share
             return
         self.kind_slow[e.row.kind, e.zone] = kind + KIND_ALPHA * (slow - kind)
 
