Size a sidecar's subset of servers by what it sends within the longest target

At fault: Balancer._eligible took as many servers as requests in a longest deadline (2.3 s here, and 25 a second give 70, more than there are), so the subset was the whole fleet for most of 40 sidecars. It now takes as many as are sent within the longest target; the least, 12, stays, so fleets up to that size are as before. Ruled out: hearing too little of the servers as a reason for many (the messages bring 36 at a time).

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -133,6 +133,7 @@
         classes = settings.classes
         self.forget_ns = max(c.deadline_ns for c in classes)  # half-life of what is known of an endpoint
         self.tightest_ns = min(c.target_ns for c in classes)
+        self.longest_ns = max(c.target_ns for c in classes)
         self.calm = CALM + (1 - CALM) * min(c.late_worth for c in classes)  # late is no total loss
         self.usual_left = [(0, 0)] * len(classes)
         self.class_ns = [c.target_ns / 4 for c in classes]  # usual response time, learned
@@ -283,8 +284,9 @@
         return self.kind_slow.get((e.row.kind, e.zone)) or self.mean_weight / e.weight
 
     def _eligible(self, req: Pending) -> list[Endpoint]:
-        # The first of this sidecar's own order: as many as it hears of often, as the design assumes.
-        ready = self.ready[: FEWEST + int(self.asked.read(self.now) * self.forget_ns)]
+        # The first of this sidecar's own order: as many as it sends to within a longest target. Danger: with
+        # more it opens connections to all, and each server's table fills with those of all sidecars.
+        ready = self.ready[: FEWEST + int(self.asked.read(self.now) * self.longest_ns)]
         risky = req.risky()
         if risky and req.cls.effect is Effect.BY_KEY:
             # Danger: outside the group, or past its memory, a repeat is a second effect. A copy may need
