--- /dev/null
+++ b/anisespool/admin.py
@@ -0,0 +1,172 @@
+"""The operators' address: one line in, one line out, and the connection ends."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import sys
+from collections.abc import Awaitable, Callable, Mapping
+
+from anisespool.config import Address
+
+MAX_LINE = 512
+MOST_CALLERS = 32  # the one that has kept us waiting longest makes room for a further one
+CALL_S = 2.25  # for a whole line: a peer that sends none is owed an end within 3 s
+LINGER_S = 0.5  # to let a caller read its answer, whatever else it has sent
+ACCEPT_PAUSE_S = 0.02  # with no descriptor left
+
+
+class Refused(Exception):
+    """The answer is a no; the text says why."""
+
+
+Call = Callable[[str], Awaitable[str]]  # the one argument, or "" where the call has none
+
+
+class Caller(asyncio.Protocol):
+    def __init__(self, admin: Admin) -> None:
+        self._admin = admin
+        self._line = b""
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.asked = False  # its line is whole
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._timer = asyncio.get_running_loop().call_later(CALL_S, self.give_up, "no call came in time")
+        self._admin.admit(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.asked:
+            return
+        line, end, _ = (self._line + data[: MAX_LINE + 1]).partition(b"\n")
+        if len(line) > MAX_LINE:
+            self.give_up(f"a line has {MAX_LINE} bytes at most")
+        elif end:
+            self._ask(line)
+        else:
+            self._line = line
+
+    def eof_received(self) -> bool:
+        if not self.asked and self._line:
+            self._ask(self._line)
+        elif not self.asked:
+            return False
+        return True  # our side stays open for the answer
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.asked = True
+        if self._timer:
+            self._timer.cancel()
+        self._admin.callers.pop(self, None)
+
+    def _ask(self, line: bytes) -> None:
+        self.asked = True
+        self._admin.ask(line, self.answer)
+
+    def give_up(self, why: str) -> None:
+        if not self.asked:
+            self.asked = True
+            self.answer(f"FAILURE {why}")
+
+    def answer(self, text: str) -> None:
+        """Danger: closing with input unread resets the connection, and the caller never reads the answer."""
+        if self._timer:
+            self._timer.cancel()
+        if self._transport and not self._transport.is_closing():
+            self._transport.write(text.encode() + b"\n")
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+            self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+
+    def abort(self) -> None:
+        if self._transport:
+            self._transport.abort()
+
+
+class Admin:
+    """Listens for operators. Whoever is slow holds a place, and nobody else up."""
+
+    def __init__(self, calls: Mapping[str, Call], make_room: Callable[[], None]) -> None:
+        """`calls` by name, with a blank at its end where an argument comes; `make_room` frees a place."""
+        self._calls, self._make_room = calls, make_room
+        self.callers: dict[Caller, None] = {}  # in the order in which they came
+        self._listener: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, listener: socket.socket) -> Address:
+        self._listener = listener
+        self._watch()
+        return Address(*listener.getsockname())
+
+    def close(self) -> None:
+        if self._listener:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+        for caller in list(self.callers):
+            caller.abort()
+
+    def admit(self, caller: Caller) -> None:
+        self.callers[caller] = None
+        if len(self.callers) > MOST_CALLERS:
+            oldest = next(iter(self.callers))
+            self.callers.pop(oldest)
+            oldest.abort()
+
+    def ask(self, line: bytes, answer: Callable[[str], None]) -> None:
+        self._start(self._answer(line, answer))
+
+    async def _answer(self, line: bytes, answer: Callable[[str], None]) -> None:
+        try:
+            name, argument = _parse(line)
+            call = self._calls.get(name)
+            if call is None:
+                raise Refused(f"no such call; there are {', '.join(n.strip() for n in self._calls)}")
+            answer(f"SUCCESS {await call(argument)}".rstrip())
+        except Refused as why:
+            answer(f"FAILURE {why}")
+
+    def _watch(self) -> None:
+        if self._listener:
+            asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    def _accept(self) -> None:
+        assert self._listener
+        loop = asyncio.get_running_loop()
+        try:
+            connected, _ = self._listener.accept()
+        except (BlockingIOError, InterruptedError, ConnectionError):
+            return
+        except OSError as error:
+            # Danger: with no descriptor left the listener stays readable, and the loop would spin.
+            print(f"admin: {error}", file=sys.stderr)
+            self._make_room()
+            loop.remove_reader(self._listener)
+            loop.call_later(ACCEPT_PAUSE_S, self._watch)
+            return
+        connected.setblocking(False)
+        self._start(self._serve(connected))
+
+    async def _serve(self, connected: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: Caller(self), connected)
+        except OSError:
+            connected.close()
+
+    def _start(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _parse(line: bytes) -> tuple[str, str]:
+    """The call's name, with a blank at its end where an argument came, and the argument."""
+    try:
+        words = line.decode("utf-8").split()
+    except UnicodeDecodeError:
+        raise Refused("the line is no text") from None
+    if not words or len(words) > 2 or not all(word.isprintable() for word in words):
+        raise Refused("a line has a call and one argument at most")
+    return (words[0] + " ", words[1]) if len(words) == 2 else (words[0], "")
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -8,12 +8,13 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from anisespool import http1
-from anisespool.config import Config, MemberList
+from anisespool.config import Config, Member, MemberList
 from anisespool.endpoints import Attempt, Endpoints
+from anisespool.maintenance import Order
 from anisespool.peers import Peers, shared_id
 from shuntlead import Balancer
 from shuntlead import interface as api
@@ -22,6 +23,7 @@
 ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
 BACKSTOP_NS = 4_000_000  # the last moment at which the driver answers by itself
 QUIET_S = 1.0  # between two tracebacks in the log
+MOST_LEFT = 4096  # ids remembered of servers that the list no longer has
 
 
 class Answer(NamedTuple):
@@ -57,7 +59,15 @@
 
 
 class Sidecar:
-    def __init__(self, config: Config, endpoints: Endpoints) -> None:
+    def __init__(
+        self, config: Config, endpoints: Endpoints, orders: Mapping[str, Order] | None = None
+    ) -> None:
+        """`orders`: what the operators have said of servers, kept up to date by its owner."""
+        self._orders = {} if orders is None else orders
+        self._epoch_ns = config.names.epoch_ns
+        self._members: dict[str, Member] = {}  # as last listed, whatever the operators say
+        self._left: dict[str, None] = {}  # ids that have been listed and are no more, the latest last
+        self._revision = 0
         self._balancer = Balancer(config.settings, config.seed)
         self._endpoints = endpoints
         self._exchanges: dict[int, _Exchange] = {}
@@ -114,7 +124,7 @@
         Danger: that ends attempts, and the module would place them anew by the list it had before; so it
         hears of the list ahead of them."""
         form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
-        self._handling = True
+        self._revision, self._handling = update.revision, True
         try:
             rows = self._apply(update, form)
         finally:
@@ -135,22 +145,49 @@
                 self._by_shared[shared_id(member.id)] = self._next_number
                 place = "{}:{}".format(*member.address)  # the module's lines name it by its number
                 print(f"driver: endpoint {self._next_number} is {member.id} at {place}", file=sys.stderr)
-            number = self._numbers[member.id]
-            rows.append(member.row._replace(endpoint=number))
-            if member.row.state == EndpointState.GONE:
+            number, row = self._numbers[member.id], self._ordered(member)
+            rows.append(row._replace(endpoint=number))
+            if row.state == EndpointState.GONE:
                 self._drop(member.id)
                 continue
-            up = member.row.state == EndpointState.READY
-            self._endpoints.update(number, member.id, member.address, member.row.started_ns, up)
+            self._members[member.id] = member
+            self._left.pop(member.id, None)
+            up = row.state == EndpointState.READY
+            self._endpoints.update(number, member.id, member.address, row.started_ns, up)
             (self._ready.add if up else self._ready.discard)(number)
         return rows
 
+    def _ordered(self, member: Member) -> api.Listed:
+        """What the list says of a server, and over it what the operators say: one that is out takes nothing
+        new, and one that they called back has been restarted, whether or not the list has it yet."""
+        row, order = member.row, self._orders.get(member.id)
+        if order is None or row.state == EndpointState.GONE:
+            return row
+        if order.out:
+            return row._replace(state=EndpointState.DRAINING)
+        return row._replace(started_ns=max(row.started_ns, order.at_ms * 1_000_000 - self._epoch_ns))
+
     def _drop(self, member_id: str) -> None:
         number = self._numbers.pop(member_id)
+        self._members.pop(member_id, None)
+        self._left[member_id] = None
+        if len(self._left) > MOST_LEFT:
+            self._left.pop(next(iter(self._left)))
         self._by_shared.pop(self._shared.pop(number), None)
         self._ready.discard(number)
         self._endpoints.remove(number)
 
+    # From the operators ---------------------------------------------------------------------------
+
+    def has_listed(self, member_id: str) -> bool:
+        return member_id in self._members or member_id in self._left
+
+    def orders_changed(self, member_ids: Iterable[str]) -> None:
+        """As a change of the list: attempts that wait for a connection there are placed anew."""
+        members = tuple(self._members[m] for m in member_ids if m in self._members)
+        if members:
+            self.listed(MemberList(self._revision, False, members))
+
     # Other sidecars ------------------------------------------------------------------------------
 
     def _tell(self, action: api.Tell) -> None:
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,107 @@
+"""The operators' address: a line in, a line out, whatever the callers do."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from time import monotonic
+
+import pytest
+
+from anisespool import admin
+from anisespool.admin import Admin, Refused
+from anisespool.config import Address
+from anisespool.server import open_listener
+from tests.net import limited
+
+CALL_S = 1.0  # a caller waits no longer
+
+
+async def call(address: Address, data: bytes, *, end: bool = False) -> bytes:
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(data)
+        if end:
+            writer.write_eof()
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+@asynccontextmanager
+async def operators_address() -> AsyncIterator[tuple[Address, list[str]]]:
+    asked: list[str] = []
+
+    async def ready(argument: str) -> str:
+        asked.append("READY")
+        return "serving"
+
+    async def disable(server: str) -> str:
+        asked.append(server)
+        if server != "s-1":
+            raise Refused(f"no server {server}")
+        return "done"
+
+    it = Admin({"READY": ready, "DISABLE ": disable}, lambda: None)
+    try:
+        yield it.listen(open_listener(Address("127.0.0.1", 0), 16)), asked
+    finally:
+        it.close()
+
+
+@pytest.mark.parametrize(
+    ("line", "answer", "asked"),
+    [
+        (b"READY\n", b"SUCCESS serving\n", ["READY"]),
+        (b"READY\r\n", b"SUCCESS serving\n", ["READY"]),
+        (b"READY\nDISABLE s-1\n", b"SUCCESS serving\n", ["READY"]),  # one line to a connection
+        (b"DISABLE s-1\n", b"SUCCESS done\n", ["s-1"]),
+        (b"DISABLE s-9\n", b"FAILURE no server s-9\n", ["s-9"]),
+        (b"DISABLE\n", b"FAILURE", []),
+        (b"READY now\n", b"FAILURE", []),
+        (b"DISABLE s-1 s-2\n", b"FAILURE", []),
+        (b"STOP\n", b"FAILURE", []),
+        (b"\n", b"FAILURE", []),
+        (b"\xff\xfe\n", b"FAILURE", []),
+        (b"DISABLE \x1b[2J\n", b"FAILURE", []),
+        (b"DISABLE " + b"x" * 600 + b"\n", b"FAILURE", []),
+        (b"x" * 200_000, b"FAILURE", []),
+    ],
+)
+@limited
+async def test_a_line_gets_one_line_and_the_end(line: bytes, answer: bytes, asked: list[str]) -> None:
+    async with operators_address() as (address, heard):
+        got = await call(address, line)
+        assert got.startswith(answer) and got.count(b"\n") == 1 and got.endswith(b"\n")
+        assert heard == asked
+
+
+@limited
+async def test_a_line_may_come_in_pieces_or_end_with_the_callers_side() -> None:
+    async with operators_address() as (address, _):
+        assert await call(address, b"READY", end=True) == b"SUCCESS serving\n"
+        reader, writer = await asyncio.open_connection(*address)
+        for byte in b"DISABLE s-1\n":
+            writer.write(bytes((byte,)))
+            await asyncio.sleep(0.002)
+        assert await reader.read() == b"SUCCESS done\n"
+        writer.close()
+
+
+@limited
+async def test_callers_that_finish_no_call_delay_nobody_and_are_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(admin, "CALL_S", 0.3)
+    async with operators_address() as (address, _):
+        began = monotonic()
+        silent = [await asyncio.open_connection(*address) for _ in range(3 * admin.MOST_CALLERS)]
+        silent[-1][1].write(b"REA")
+        assert await call(address, b"READY\n") == b"SUCCESS serving\n"
+        assert monotonic() - began < CALL_S
+        ends = await asyncio.gather(*(reader.read() for reader, _ in silent), return_exceptions=True)
+        assert monotonic() - began < 0.3 + CALL_S
+        assert str(ends[-1]).startswith("b'FAILURE") and len(ends) == len(silent)
+        for _, writer in silent:
+            writer.close()
