Serve from the inherited listener, take calls, and hand over in an upgrade

Now it accepts from LB_INHERITED_FD once a first list is in, or 3 s have passed, and says READY then; its watch does not wait for its turn. The old one stops accepting at SIGTERM, leaves the queue alone, ends kept connections with their next answer, and idle ones after 0.5 s: what comes later than 0.7 s has no more time until SIGKILL. The new process takes peer_listen once the old one has closed it.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -11,57 +11,136 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from anisespool.admin import Admin, Refused
 from anisespool.config import Address, Config, ConfigError, load, reload_discovery
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
-from anisespool.server import Server
+from anisespool.maintenance import Maintenance
+from anisespool.server import Server, open_listener
 from anisespool.sidecar import Sidecar
 from shuntlead.interface import RosterForm
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 0.5  # past the longest deadline of what was taken till then: nothing can still be in time
 SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
+LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
+ADMIN_BACKLOG = 128
 RESOURCES_S = 5.0  # between two lines of what is held: leaks show in the log long before they bite
 
 
+class Service:
+    """One sidecar: its parts, what the operators may ask of it, and its start and end."""
+
+    def __init__(self, config: Config) -> None:
+        settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
+        self._config = config
+        self._endpoints = Endpoints(
+            settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most
+        )
+        place = Maintenance.place(config.folder, config.name)
+        self._maintenance = Maintenance(place, lambda ids: self._sidecar.orders_changed(ids))
+        self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
+        self._server = Server(self._sidecar, config.names, settings, most)
+        self._watch = Watch(
+            config.discovery, config.names, config.known, settings.fleet_size, self._sidecar.listed,
+            at_once=config.inherited_fd is not None,
+        )  # fmt: skip
+        self._calls = {"READY": self._ready, "DISABLE ": self._disable, "ENABLE ": self._enable}
+        self._admin = Admin(self._calls, lambda: None)
+        self._listening = self._stopping = False
+
+    async def run(
+        self, stop: asyncio.Event, moves: asyncio.Queue[Address], on_listening: Callable[[Address], None]
+    ) -> None:
+        """Until `stop` is set and all that was taken is answered. Discovery is watched where the
+        configuration says, and from then on where `moves` does."""
+        loop = asyncio.get_running_loop()
+        self._maintenance.read()
+        self._open_admin()
+        self._sidecar.listed(self._config.known, RosterForm.CACHED)
+        works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
+                 _log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
+        if self._config.admin:
+            works.append(self._maintenance.follow())
+        if self._sidecar.peers:
+            works.append(self._sidecar.peers.open())
+        tasks = [loop.create_task(work) for work in works]
+        if self._config.inherited_fd is not None:
+            await self._first_list(stop)
+        on_listening(self._listen())
+        self._listening = True
+        gc.freeze()  # what start-up made stays for good: no collection need look at it
+        await stop.wait()
+        self._stopping = True
+        if self._sidecar.peers:
+            self._sidecar.peers.close()  # a new process waits for the address
+        await self._end()
+        for task in tasks:
+            task.cancel()
+        self._admin.close()
+
+    def _open_admin(self) -> None:
+        if self._config.admin:
+            try:
+                self._admin.listen(open_listener(self._config.admin, ADMIN_BACKLOG))
+            except OSError as error:
+                raise ConfigError(f"LB_ADMIN_ADDR or key admin_addr: {error}") from None
+
+    def _listen(self) -> Address:
+        descriptor = self._config.inherited_fd
+        try:
+            if descriptor is None:
+                return self._server.listen(self._config.listen)
+            return self._server.inherit(descriptor)
+        except OSError as error:
+            name = "LB_LISTEN" if descriptor is None else "LB_INHERITED_FD"
+            raise ConfigError(f"{name}: {error}") from None
+
+    async def _first_list(self, stop: asyncio.Event) -> None:
+        """Danger: with the old list a new process would send to what is gone."""
+        heard, stopped = (asyncio.ensure_future(event.wait()) for event in (self._watch.heard, stop))
+        await asyncio.wait((heard, stopped), timeout=LIST_WAIT_S, return_when=asyncio.FIRST_COMPLETED)
+        heard.cancel()
+        stopped.cancel()
+
+    async def _end(self) -> None:
+        longest_s = max(c.deadline_ns for c in self._config.settings.classes) / 1e9
+        try:
+            async with asyncio.timeout(ACCEPT_S + longest_s + LAST_S):
+                await self._server.stop(ACCEPT_S)
+        except TimeoutError:
+            print("server: ended with connections still in use", file=sys.stderr)
+
+    # What operators may ask -----------------------------------------------------------------------
+
+    async def _ready(self, argument: str) -> str:
+        if self._stopping:
+            raise Refused("this process is on its way out")
+        if not self._listening:
+            raise Refused("waiting for the first list of servers")
+        return "serving"
+
+    async def _disable(self, server: str) -> str:
+        await self._order(server, True)
+        return f"{server} takes nothing new"
+
+    async def _enable(self, server: str) -> str:
+        await self._order(server, False)
+        return f"{server} may serve"
+
+    async def _order(self, server: str, out: bool) -> None:
+        if not (self._sidecar.has_listed(server) or server in self._maintenance.orders):
+            raise Refused(f"no server {server} has been listed")
+        await self._maintenance.order(server, out)
+
+
 async def run(
     config: Config,
     stop: asyncio.Event,
     moves: asyncio.Queue[Address],
     on_listening: Callable[[Address], None],
 ) -> None:
-    """One sidecar from its start until `stop` is set and all that it took is answered. Discovery is watched
-    where the configuration says, and from then on where `moves` does."""
-    loop = asyncio.get_running_loop()
-    settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
-    endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
-    sidecar = Sidecar(config, endpoints)
-    if sidecar.peers:
-        await sidecar.peers.open()
-    sidecar.listed(config.known, RosterForm.CACHED)
-    watch = Watch(config.discovery, config.names, config.known, settings.fleet_size, sidecar.listed)
-    server = Server(sidecar, config.names, settings, most)
-    tasks = [
-        loop.create_task(watch.follow(moves)),
-        loop.create_task(endpoints.sweep()),
-        loop.create_task(server.sweep()),
-        loop.create_task(_log_resources(server, sidecar, endpoints)),
-    ]
-    try:
-        on_listening(server.listen(config.listen))
-    except OSError as error:
-        raise ConfigError(f"LB_LISTEN: {error}") from None
-    gc.freeze()  # what start-up made stays for good: no collection need look at it
-    await stop.wait()
-    try:
-        async with asyncio.timeout(ACCEPT_S + max(c.deadline_ns for c in settings.classes) / 1e9 + LAST_S):
-            await server.stop(ACCEPT_S)
-    except TimeoutError:
-        print("server: ended with connections still in use", file=sys.stderr)
-    for task in tasks:
-        task.cancel()
-    if sidecar.peers:
-        sidecar.peers.close()
+    await Service(config).run(stop, moves, on_listening)
 
 
 async def _log_resources(server: Server, sidecar: Sidecar, endpoints: Endpoints) -> None:
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from shuntlead import Settings, SettingsError
@@ -96,6 +97,9 @@
     names: Names
     known: MemberList
     peers: PeerAddresses | None  # None: the settings allow no messages, or no address was given
+    admin: Address | None = None  # where operators call; None: nowhere
+    inherited_fd: int | None = None  # the clients' listening socket, where the platform holds it
+    folder: Path | None = None  # what is in it outlives the process in an upgrade
 
 
 def load(env: Mapping[str, str]) -> Config:
@@ -119,6 +123,9 @@
         names=names,
         known=_known(names, raw.get("known")),
         peers=_peers(raw) if settings.may_message else None,
+        admin=_admin(env, raw),
+        inherited_fd=_inherited_fd(env),
+        folder=Path(env["TMPDIR"]) if env.get("TMPDIR") else None,
     )
 
 
@@ -193,6 +200,26 @@
         raise ConfigError(f"LB_CONFIG: key known: {error}") from None
 
 
+def _admin(env: Mapping[str, str], raw: dict[str, Any]) -> Address | None:
+    if env.get("LB_ADMIN_ADDR"):
+        return _address(env, "LB_ADMIN_ADDR")
+    if not raw.get("admin_addr"):
+        return None
+    try:
+        return Address.parse(raw["admin_addr"])
+    except ValueError as error:
+        raise ConfigError(f"LB_CONFIG: key admin_addr: {error}") from None
+
+
+def _inherited_fd(env: Mapping[str, str]) -> int | None:
+    text = env.get("LB_INHERITED_FD", "")
+    if not text:
+        return None
+    if not (text.isascii() and text.isdecimal()):
+        raise ConfigError(f"LB_INHERITED_FD: {text!r} is no descriptor")
+    return int(text)
+
+
 def _peers(raw: dict[str, Any]) -> PeerAddresses | None:
     if not raw.get("peer_listen") or not raw.get("peers"):
         return None
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -26,7 +26,7 @@
 
     def __init__(
         self, address: Address, names: Names, known: MemberList, fleet_size: int,
-        on_list: Callable[[MemberList], None],
+        on_list: Callable[[MemberList], None], at_once: bool = False,
     ) -> None:  # fmt: skip
         self.address, self._names, self._on_list = address, names, on_list
         self._revision = known.revision
@@ -34,7 +34,9 @@
         self._first_s = FIRST_WAIT_S * fleet_size
         self._longest_s = max(LONGEST_WAIT_S * fleet_size, LEAST_LONGEST_S)
         # Danger: a release starts many at once. With no list to serve by, there is nothing to wait with.
-        self.start_delay_s = random.uniform(0.0, self._first_s) if known.members else 0.0
+        waits = bool(known.members) and not at_once
+        self.start_delay_s = random.uniform(0.0, self._first_s) if waits else 0.0
+        self.heard = asyncio.Event()  # a list, or a change of one
 
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
@@ -104,3 +106,4 @@
             return
         self._revision = update.revision
         self._on_list(update)
+        self.heard.set()
--- a/anisespool/peers.py
+++ b/anisespool/peers.py
@@ -16,6 +16,7 @@
 
 MAX_DATAGRAM = 256  # a longer one voids the run
 RELEASE = b"\x01"  # of the form of the messages; one that begins otherwise is another release's
+OPEN_AGAIN_S = 0.1  # while the address is taken
 QUIET_S = 5.0  # between two lines of the log
 
 
@@ -35,12 +36,17 @@
         self._logged_at, self._dropped = 0.0, 0
 
     async def open(self) -> None:
-        """Danger: messages are a help, no need. Without them the sidecar still serves."""
-        loop = asyncio.get_running_loop()
-        try:
-            await loop.create_datagram_endpoint(lambda: self, local_addr=self._addresses.listen)
-        except OSError as error:
-            print(f"peers: {error}", file=sys.stderr)
+        """Danger: messages are a help, no need. Without them the sidecar still serves. In an upgrade the old
+        process holds the address until it ends its service."""
+        loop, complained = asyncio.get_running_loop(), False
+        while self._transport is None:
+            try:
+                await loop.create_datagram_endpoint(lambda: self, local_addr=self._addresses.listen)
+            except OSError as error:
+                if not complained:
+                    complained = True
+                    print(f"peers: {error}", file=sys.stderr)
+                await asyncio.sleep(OPEN_AGAIN_S)
 
     def close(self) -> None:
         if self._transport:
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -230,6 +230,30 @@
             self.close_if_idle()
 
 
+def open_listener(address: Address, backlog: int) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def inherited_listener(descriptor: int) -> socket.socket:
+    """OSError where the descriptor is none, or no listening TCP socket."""
+    listener = socket.socket(fileno=descriptor)
+    is_tcp = (listener.family, listener.type) == (socket.AF_INET, socket.SOCK_STREAM)
+    if not is_tcp or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.detach()
+        raise OSError(f"descriptor {descriptor} is no listening TCP socket")
+    listener.setblocking(False)
+    return listener
+
+
 class Server:
     """The listener. It accepts by itself, so that nothing queued is reset when it closes."""
 
@@ -239,6 +263,7 @@
         self.stopping = False
         self._most = most
         self._listener: socket.socket | None = None
+        self._shares_listener = False  # with another process: what waits in its queue is not ours to take
         self._accepting: set[asyncio.Task[None]] = set()
 
     @property
@@ -272,14 +297,17 @@
         return f"{len(self.connections)} clients ({', '.join(f'{n} {s}' for s, n in sorted(states.items()))})"
 
     def listen(self, address: Address) -> Address:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-        self._listener = listener
+        """Take the address for ourselves, and accept."""
+        self._listener = open_listener(address, BACKLOG)
         self._watch_listener()
-        return Address(*listener.getsockname())
+        return Address(*self._listener.getsockname())
+
+    def inherit(self, descriptor: int) -> Address:
+        """Accept from a socket that the platform holds, and that other processes accept from as well."""
+        self._listener = inherited_listener(descriptor)
+        self._shares_listener = True
+        self._watch_listener()
+        return Address(*self._listener.getsockname())
 
     def _accept(self) -> None:
         loop = asyncio.get_running_loop()
@@ -311,15 +339,20 @@
     async def stop(self, accept_s: float) -> None:
         """A planned restart: go on accepting for a while, then answer what was taken, and end."""
         self.stopping = True
-        # Clients use a connection for as long as it is open: closed now, they still find the listener.
-        self._close_idle()
-        await asyncio.sleep(accept_s)
         loop = asyncio.get_running_loop()
-        if self._listener:
-            loop.remove_reader(self._listener)
+        if self._shares_listener:
+            # The other process takes all that comes from now on. Danger: a request may be on its way on any
+            # idle connection. Most clients bring their next one within this time, and go on its answer.
+            self._end_listener()
+            until = loop.time() + accept_s
+            while (self.connections or self._accepting) and loop.time() < until:
+                await asyncio.sleep(0.01)
+        else:
+            # Clients use a connection for as long as it is open: closed now, they still find the listener.
+            self._close_idle()
+            await asyncio.sleep(accept_s)
             self._accept()  # Danger: closing resets what still waits in the listener's queue
-            self._listener.close()
-            self._listener = None
+            self._end_listener()
         if self._accepting:
             await asyncio.wait(self._accepting)
         # A request may be on its way in on any of those; a half-written one gets no longer than this.
@@ -330,6 +363,12 @@
         self._close_idle()
         await asyncio.sleep(0)
 
+    def _end_listener(self) -> None:
+        if self._listener:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+
     def _close_idle(self) -> None:
         for connection in list(self.connections):
             connection.close_if_idle()
--- a/tests/net.py
+++ b/tests/net.py
@@ -139,6 +139,18 @@
         self.connections[-1][1].write(b"%x\r\n%s\r\n" % (len(data), data))
 
 
+class TellingDiscovery(Discovery):
+    """One that tells every watch the same list at once."""
+
+    def __init__(self, line: dict[str, Any]) -> None:
+        super().__init__()
+        self.line = line
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await super()._connected(reader, writer)
+        self.say(self.line)
+
+
 def settings_json(**changes: Any) -> dict[str, Any]:
     """The settings of tests/support.py, with names: class `look` is safe, `keyed` keyed, `once` unsafe."""
     raw = raw_settings(**changes)
@@ -165,19 +177,33 @@
 
     def __init__(self, address: Address, discovery: Discovery, stop: asyncio.Event, task: asyncio.Task[None]):
         self.address, self.discovery, self.stop, self.task = address, discovery, stop, task
+        self.admin: Address | None = None
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
 
 
 @asynccontextmanager
-async def world(folder: Path, *endpoints: Endpoint, **changes: Any) -> AsyncIterator[World]:
+async def world(
+    folder: Path, *endpoints: Endpoint, admin: bool = False, **changes: Any
+) -> AsyncIterator[World]:
     async with Discovery().serve() as discovery:
         known = []
         for n, endpoint in enumerate(endpoints):
             known.append(member(f"s-{n}", endpoint.address))
-        config: Config = load(write_config(folder, discovery.address, known, **changes))
+        env = write_config(folder, discovery.address, known, **changes)
+        if admin:
+            env["LB_ADMIN_ADDR"] = f"127.0.0.1:{free_port()}"
+        config: Config = load(env)
         stop, listening = asyncio.Event(), asyncio.get_running_loop().create_future()
         task = asyncio.create_task(run(config, stop, asyncio.Queue(), listening.set_result))
         try:
-            yield World(await listening, discovery, stop, task)
+            it = World(await listening, discovery, stop, task)
+            it.admin = config.admin
+            yield it
         finally:
             task.cancel()
             with suppress(asyncio.CancelledError):
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,189 @@
+"""Servers out: the file that two processes share, and what the driver makes of an order."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+import pytest
+
+from anisespool.config import Address, Member, load
+from anisespool.endpoints import Endpoints
+from anisespool.maintenance import Maintenance, Order
+from anisespool.sidecar import Answer, Call, Sidecar
+from shuntlead.interface import Listed, RosterForm
+from tests.net import (
+    OK,
+    Endpoint,
+    exchange,
+    limited,
+    member,
+    member_list,
+    raw_call,
+    until,
+    world,
+    write_config,
+)
+from tests.test_admin import call
+from tests.test_endpoints import GET
+
+NOW_MS = 1_700_000_000_000
+ADDRESS = Address("127.0.0.1", 1)
+
+
+class Process:
+    """One of those that share the file."""
+
+    def __init__(self, path: Path | None) -> None:
+        self.changed: list[str] = []
+        self.it = Maintenance(path, self._note)
+
+    def _note(self, servers: Iterable[str]) -> None:
+        self.changed.extend(servers)
+
+    def out(self) -> set[str]:
+        return {server for server, order in self.it.orders.items() if order.out}
+
+
+@limited
+async def test_two_processes_follow_each_others_orders_and_a_third_takes_them_up(tmp_path: Path) -> None:
+    path = tmp_path / "out.json"
+    old, new = Process(path), Process(path)
+    following = [asyncio.create_task(p.it.follow()) for p in (old, new)]
+    await old.it.order("s-1", True)
+    assert new.out() == {"s-1"} and new.changed == ["s-1"]  # by the time of the yes
+    await asyncio.gather(old.it.order("s-2", True), new.it.order("s-3", True))
+    await old.it.order("s-1", False)
+    await until(lambda: old.out() == new.out() == {"s-2", "s-3"})
+    third = Process(path)
+    third.it.read()
+    assert third.out() == {"s-2", "s-3"} and third.it.orders == old.it.orders
+    for task in following:
+        task.cancel()
+
+
+@limited
+async def test_two_calls_out_need_one_back_and_a_second_back_changes_nothing(tmp_path: Path) -> None:
+    process = Process(tmp_path / "out.json")
+    for out in (True, True, False):
+        await process.it.order("s-1", out)
+    back = process.it.orders["s-1"]
+    await process.it.order("s-1", False)
+    assert process.it.orders["s-1"] == back and not back.out and process.changed == ["s-1", "s-1"]
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [b"", b"{", b"[]", b'{"orders": {"s-1": 5}}', b'{"orders": {"s-1": [1, "x"]}}', b"\xff", b"[" * 10**5],
+)
+@limited
+async def test_a_damaged_file_is_logged_and_own_orders_hold(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str], damage: bytes
+) -> None:
+    path = tmp_path / "out.json"
+    process = Process(path)
+    await process.it.order("s-1", True)
+    path.write_bytes(damage)
+    process.it.read()
+    assert process.out() == {"s-1"}
+    assert capfd.readouterr().err.startswith("maintenance: the file of servers out cannot be read")
+    await process.it.order("s-2", True)  # which makes the file whole again
+    third = Process(path)
+    third.it.read()
+    assert third.out() == {"s-1", "s-2"}
+
+
+@limited
+async def test_an_unwritable_file_is_logged_and_own_orders_hold(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    process = Process(tmp_path / "nowhere" / "out.json")
+    process.it.read()
+    await process.it.order("s-1", True)
+    assert process.out() == {"s-1"} and process.changed == ["s-1"]
+    assert "maintenance: " in capfd.readouterr().err
+    alone = Process(None)
+    await alone.it.order("s-1", True)
+    assert alone.out() == {"s-1"}
+
+
+def test_the_file_keeps_no_call_back_for_ever(tmp_path: Path) -> None:
+    process = Process(tmp_path / "out.json")
+    process.it.orders.update({"s-old": Order(False, NOW_MS), "s-out": Order(True, NOW_MS)})
+    asyncio.run(process.it.order("s-1", True))
+    assert set(process.it.orders) == {"s-out", "s-1"}
+    assert [p.name for p in tmp_path.iterdir() if p.suffix == f".{os.getpid()}"] == []
+
+
+@limited
+async def test_attempts_that_wait_for_a_connection_there_are_placed_anew(tmp_path: Path) -> None:
+    async with Endpoint().serve() as one, Endpoint().serve() as two:
+        rows = [member(name, it.address) for name, it in (("s-0", one), ("s-1", two))]
+        config = load(write_config(tmp_path, one.address, rows))
+        endpoints = Endpoints((), 10**9, 10**10, 16)
+        orders: dict[str, Order] = {}
+        sidecar = Sidecar(config, endpoints, orders)
+        sidecar.listed(config.known, RosterForm.CACHED)
+        answers: list[Answer] = []
+        for _ in range(8):  # all wait for the handshakes, as nothing else has run yet
+            sidecar.take(Call(GET, 0, 0, 10**9, None, 0, False), answers.append)
+        orders["s-0"] = Order(True, NOW_MS)
+        sidecar.orders_changed(["s-0"])
+        await until(lambda: len(answers) == 8)
+        assert {a.status for a in answers} == {200} and len(two.requests) == 8 and not one.requests
+
+
+def test_a_server_called_back_is_cold_from_then_until_the_list_shows_a_later_start(tmp_path: Path) -> None:
+    config = load(write_config(tmp_path, ADDRESS, []))
+    now_ms = time.time_ns() // 1_000_000
+    orders = {"s-0": Order(False, now_ms)}
+    sidecar = Sidecar(config, Endpoints((), 10**9, 10**10, 16), orders)
+    back_ns = now_ms * 1_000_000 - config.names.epoch_ns
+    starts = [
+        sidecar._ordered(_member(started_ns)).started_ns
+        for started_ns in (0, back_ns - 10**9, back_ns + 10**9)
+    ]
+    assert starts == [back_ns, back_ns, back_ns + 10**9]
+
+
+def _member(started_ns: int) -> Member:
+    return Member("s-0", ADDRESS, Listed(0, 1.0, 0, 0, 0, 1, started_ns))
+
+
+@limited
+async def test_discovery_cannot_undo_an_order_nor_can_an_absence_from_the_list(tmp_path: Path) -> None:
+    """On sockets, by calls: out, off the list, on it again with a new start; and back."""
+    async with (
+        Endpoint(OK).serve() as one,
+        Endpoint(OK).serve() as two,
+        world(tmp_path, one, two, admin=True) as it,
+    ):
+        await until(lambda: bool(it.discovery.connections))
+        assert it.admin
+        assert (await call(it.admin, b"DISABLE s-9\n")).startswith(b"FAILURE")
+        assert await call(it.admin, b"DISABLE s-0\n") == b"SUCCESS s-0 takes nothing new\n"
+        other, back = member("s-1", two.address), member("s-0", one.address, up_since_ms=NOW_MS)
+        for revision, rows in enumerate(([member("s-0", one.address)], [], [back]), start=2):
+            news = member(f"new-{revision}", ADDRESS, "draining")
+            it.discovery.say(member_list(revision, [*rows, other, news]))
+            while not (await call(it.admin, f"DISABLE new-{revision}\n".encode())).startswith(b"SUCCESS"):
+                pass  # the list has not been read yet
+            for _ in range(20):
+                assert (await exchange(it.address, raw_call())).status == 200
+        assert not one.requests and len(two.requests) == 60
+        assert await call(it.admin, b"ENABLE s-0\n") == b"SUCCESS s-0 may serve\n"
+        for _ in range(60):
+            assert (await exchange(it.address, raw_call())).status == 200
+        assert 0 < len(one.requests) < 45  # soon used again, and within the cap of a cold one
+
+
+@limited
+async def test_with_all_servers_out_requests_are_refused(tmp_path: Path) -> None:
+    async with Endpoint(OK).serve() as one, world(tmp_path, one, admin=True) as it:
+        assert it.admin
+        assert (await call(it.admin, b"DISABLE s-0\n")).startswith(b"SUCCESS")
+        assert (await exchange(it.address, raw_call(left_ms=200))).status == 503
+        assert not one.requests
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,7 +8,10 @@
 import signal
 import socket
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -17,7 +20,9 @@
     OK,
     Discovery,
     Endpoint,
+    TellingDiscovery,
     exchange,
+    free_port,
     limited,
     member,
     member_list,
@@ -28,16 +33,11 @@
     write_config,
 )
 from tests.support import SECOND, raw_settings
+from tests.test_admin import call
 
 NOWHERE = Address("127.0.0.1", 1)
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @pytest.mark.parametrize("name", ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"])
 @pytest.mark.parametrize("value", ["", "nonsense"])
 def test_a_bad_variable_is_named(tmp_path: Path, name: str, value: str) -> None:
@@ -253,3 +253,171 @@
         assert (await answer).status == 200
         await it.task
     assert ended_early == [False]
+
+
+@pytest.mark.parametrize(
+    ("changes", "name"),
+    [
+        ({"LB_ADMIN_ADDR": "nonsense"}, "LB_ADMIN_ADDR"),
+        ({"LB_INHERITED_FD": "three"}, "LB_INHERITED_FD"),
+        ({"LB_INHERITED_FD": "-1"}, "LB_INHERITED_FD"),
+    ],
+)
+def test_a_bad_optional_variable_is_named(tmp_path: Path, changes: dict[str, str], name: str) -> None:
+    with pytest.raises(ConfigError, match=name):
+        load(write_config(tmp_path, NOWHERE, []) | changes)
+
+
+def test_the_variable_for_the_operators_address_wins_over_the_key(tmp_path: Path) -> None:
+    env = write_config(tmp_path, NOWHERE, [])
+    assert load(env).admin is None
+    file = Path(env["LB_CONFIG"])
+    file.write_text(json.dumps(json.loads(file.read_text()) | {"admin_addr": "127.0.0.1:7"}))
+    assert load(env).admin == ("127.0.0.1", 7)
+    assert load(env | {"LB_ADMIN_ADDR": "127.0.0.1:8"}).admin == ("127.0.0.1", 8)
+
+
+@limited
+async def test_an_inherited_descriptor_that_does_not_listen_ends_the_program_with_one_line(
+    tmp_path: Path,
+) -> None:
+    with socket.socket() as deaf, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+        deaf.bind(("127.0.0.1", 0))
+        for held in (deaf, datagrams):
+            env = write_config(tmp_path, NOWHERE, []) | {"LB_INHERITED_FD": str(held.fileno())}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.PIPE,
+                pass_fds=(held.fileno(),),
+            )  # fmt: skip
+            _, log = await process.communicate()
+            assert process.returncode == 2 and b"LB_INHERITED_FD" in log and b"Traceback" not in log
+
+
+class Upgrade:
+    """Processes on one listening socket that the platform, here the test, holds."""
+
+    def __init__(self, folder: Path, held: socket.socket, env: dict[str, str]) -> None:
+        self.folder, self.held, self.env = folder, held, env
+        self.address = Address(*held.getsockname())
+
+    async def start(self) -> tuple[asyncio.subprocess.Process, Address]:
+        """A process that has said READY, and its address for operators."""
+        admin = Address("127.0.0.1", free_port())
+        env = self.env | {"LB_ADMIN_ADDR": "{}:{}".format(*admin), "TMPDIR": str(self.folder)}
+        env["LB_INHERITED_FD"] = str(self.held.fileno())
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.DEVNULL,
+            pass_fds=(self.held.fileno(),),
+        )  # fmt: skip
+        while True:
+            try:
+                if (await call(admin, b"READY\n")).startswith(b"SUCCESS"):
+                    return process, admin
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def upgrade(folder: Path, *endpoints: Endpoint, **changes: Any) -> AsyncIterator[Upgrade]:
+    rows = [member(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
+    async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+        with socket.socket() as held:
+            held.bind(("127.0.0.1", 0))
+            held.listen(64)
+            listen = "{}:{}".format(*held.getsockname())
+            yield Upgrade(folder, held, write_config(folder, discovery.address, rows, listen, **changes))
+
+
+@limited
+async def test_a_new_process_takes_over_with_no_request_turned_back(tmp_path: Path) -> None:
+    async with Endpoint(OK).serve() as endpoint, upgrade(tmp_path, endpoint) as it:
+        old, _ = await it.start()
+        ended, done, count = asyncio.Event(), asyncio.Event(), [0, 0]
+
+        async def on_kept_connections() -> None:
+            reader = writer = None
+            while not done.is_set():
+                if writer is None or reader is None:
+                    reader, writer = await asyncio.open_connection(*it.address)
+                writer.write(raw_call("once", f"k{count[0]}"))
+                response = await read_response(reader)  # a close under a request would raise
+                assert response.status == 200
+                count[0] += 1
+                if response.headers.get(b"connection") == b"close":
+                    ended.set()
+                    writer = None
+
+        async def on_new_connections() -> None:
+            while not done.is_set():
+                assert (await exchange(it.address, raw_call("once", f"n{count[1]}"))).status == 200
+                count[1] += 1
+
+        clients = [asyncio.create_task(on_kept_connections()), asyncio.create_task(on_new_connections())]
+        await until(lambda: min(count) > 20)
+        new, _ = await it.start()
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        before = list(count)
+        await until(lambda: all(now > then + 20 for now, then in zip(count, before, strict=True)))
+        done.set()
+        await asyncio.gather(*clients)
+        assert ended.is_set()
+        traces = [request.headers[b"x-trace-id"] for request in endpoint.requests]
+        assert len(traces) == len(set(traces)) == sum(count)
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+
+
+@limited
+async def test_at_the_change_what_the_old_process_took_is_answered_and_an_idle_one_let_go(
+    tmp_path: Path,
+) -> None:
+    release = asyncio.Event()
+
+    async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    rows = raw_settings()["request-classes"]
+    classes = [row | {"deadline-ns": 8 * SECOND, "late-worth": 0.5} for row in rows]
+    async with (
+        Endpoint(held).serve() as endpoint,
+        upgrade(tmp_path, endpoint, request_classes=classes) as it,
+    ):
+        old, _ = await it.start()
+        kept = [await asyncio.open_connection(*it.address) for _ in range(2)]
+        for reader, writer in kept:
+            writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+            assert (await read_response(reader)).keep_alive
+        (busy, asking), (idle, _) = kept
+        asking.write(raw_call("once", left_ms=8000))
+        await until(lambda: len(endpoint.requests) == 1)
+        old.send_signal(signal.SIGTERM)
+        assert await idle.read() == b""  # in the end, as nothing came on it
+        release.set()
+        response = await read_response(busy)
+        assert (response.status, response.headers[b"connection"]) == (200, b"close")
+        assert await old.wait() == 0
+        with socket.create_connection(it.address):  # the queue stays, for whoever comes next
+            pass
+
+
+@limited
+async def test_servers_out_stay_out_over_an_upgrade_whichever_process_is_called(tmp_path: Path) -> None:
+    one, two = Endpoint(OK), Endpoint(OK)
+    async with one.serve(), two.serve(), upgrade(tmp_path, one, two) as it:
+        old, old_admin = await it.start()
+        assert (await call(old_admin, b"DISABLE s-0\n")).startswith(b"SUCCESS")
+        new, new_admin = await it.start()
+        for _ in range(20):
+            assert (await exchange(it.address, raw_call())).status == 200
+        assert not one.requests
+        assert (await call(new_admin, b"ENABLE s-0\n")).startswith(b"SUCCESS")
+        assert (await call(new_admin, b"DISABLE s-1\n")).startswith(b"SUCCESS")
+        seen = len(two.requests)
+        for _ in range(20):  # some of them at the old process
+            assert (await exchange(it.address, raw_call())).status == 200
+        assert len(one.requests) == 20 and len(two.requests) == seen
+        for process in (old, new):
+            process.kill()
+            await process.wait()
