Tell nothing on a closed socket for messages, which ended requests at SIGTERM

Since the hand-over the socket closes at the start of the end, and tell looked only at whether it had ever been open. Now a closed one is forgotten, and does not open again.

--- a/anisespool/peers.py
+++ b/anisespool/peers.py
@@ -32,6 +32,7 @@
         self._addresses, self._on_message = addresses, on_message
         self._senders = {address: number for number, address in enumerate(addresses.peers)}
         self._transport: asyncio.DatagramTransport | None = None
+        self._closed = False
         self._full = False  # the kernel takes no more for now: an old message is worth nothing
         self._logged_at, self._dropped = 0.0, 0
 
@@ -39,7 +40,7 @@
         """Danger: messages are a help, no need. Without them the sidecar still serves. In an upgrade the old
         process holds the address until it ends its service."""
         loop, complained = asyncio.get_running_loop(), False
-        while self._transport is None:
+        while self._transport is None and not self._closed:
             try:
                 await loop.create_datagram_endpoint(lambda: self, local_addr=self._addresses.listen)
             except OSError as error:
@@ -49,12 +50,17 @@
                 await asyncio.sleep(OPEN_AGAIN_S)
 
     def close(self) -> None:
+        """Danger: requests are still being answered, and what they teach is still told."""
+        self._closed = True
         if self._transport:
             self._transport.abort()
+            self._transport = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # In Python 3.11 the loop's transport is a DatagramTransport in all but its class.
         self._transport = cast(asyncio.DatagramTransport, transport)
+        if self._closed:
+            self.close()
 
     def tell(self, peer: int, strain: float, sightings: tuple[api.Sighting, ...]) -> None:
         """To one sidecar by its number, or to all (-1)."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -76,6 +76,28 @@
     listener.close()
 
 
+@limited
+async def test_the_address_passes_from_one_process_to_the_next_and_a_closed_one_may_still_tell() -> None:
+    addresses = free_addresses(2)
+    old = await opened(addresses, 0, list[api.PeerMessage]().append)
+    heard = list[api.PeerMessage]()
+    new = Peers(PeerAddresses(addresses[0], tuple(addresses), None), heard.append)
+    opening = asyncio.create_task(new.open())
+    while new._transport is None:
+        old.close()
+        old.tell(1, 0.5, ())  # for one request that is still being answered
+        await asyncio.sleep(0.01)
+    await opening
+    with closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as sender:
+        sender.bind(addresses[1])
+        while not heard:
+            sender.sendto(b"\x01\x80", addresses[0])
+            await asyncio.sleep(0.005)
+    new.close()
+    await asyncio.wait_for(new.open(), 1.0)  # one that is on its way out does not take it again
+    assert new._transport is None
+
+
 class Module:
     def __init__(self) -> None:
         self.events: list[api.Event] = []
