Pass long bodies on as they come, and let slow clients have the time they are owed

At fault: WAIT_S for head and body together in ClientConnection.end_wait, MAX_BODY and MAX_ANSWER in http1.

A body over 64 KiB is now a Flow: what comes goes to the other connection, and while that has unsent bytes its source is not read. So a connection holds one read and the write buffer, by its share of an eighth of the memory; the kernel's buffer for a client of a long answer is bounded as well. Both sides read into one buffer for the process. Not taken: asyncio streams, a task and a second buffer for each body; spooling to TMPDIR, which counts as memory.

A body not over 64 KiB is held and repeated as before. An answer of no told length is held for 50 ms, then passed on. The module hears of the first and last byte of a body on its way up and of the first of an answer: no repeat once any has gone, no wait charged for the length, no place among the open. Then 10 s without progress end it, either way; a break is a reset. A reset in a test of HTTP/1.0 is the one visible end.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -22,6 +22,7 @@
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 0.5  # past the longest deadline of what was taken till then: nothing can still be in time
+BUFFERS_PART = 8  # of the memory, for long bodies on their way
 SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
 LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
 ADMIN_BACKLOG = 128
@@ -40,7 +41,8 @@
         place = Maintenance.place(config.folder, config.name)
         self._maintenance = Maintenance(place, lambda ids: self._sidecar.orders_changed(ids))
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
-        self._server = Server(self._sidecar, config.names, settings, most)
+        buffers = config.memory_bytes // BUFFERS_PART
+        self._server = Server(self._sidecar, config.names, settings, most, buffers)
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None,
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -92,6 +92,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_bytes: int
     keepalive_ns: int
     settings: Settings
     names: Names
@@ -118,6 +119,7 @@
         discovery=_address(env, "LB_DISCOVERY"),
         seed=_seed(raw.get("seed")),
         sockets=_number(raw, "limits", "sockets", 1024),
+        memory_bytes=_number(raw, "limits", "memory_mb", 64) << 20,
         keepalive_ns=_number(raw["settings"], "allowed", "keepalive-ns", 15_000_000_000),
         settings=settings,
         names=names,
--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -12,6 +12,7 @@
 
 from anisespool import http1
 from anisespool.config import Address
+from anisespool.flow import Flow, read_buffer
 from shuntlead.interface import Status
 
 FORWARDED = {b"x-trace-id": b"X-Trace-Id", b"idempotency-key": b"Idempotency-Key",
@@ -21,19 +22,32 @@
 SWEEP_S = 1.0
 MAX_LINE = 8000  # characters of the log
 QUIET_S = 0.5  # between two lines on broken connections
+STALL_S = 10.0  # in the midst of a long body: peers may take seconds, but not for ever
+HOLD_S = 0.05  # for an answer of no told length to end: a short one can still be repeated, a long one waits
+
+
+def _nothing(attempt: Attempt) -> None:
+    pass
 
 
 class Attempt:
     """One try of a request at one endpoint, from the Send until its one status."""
 
-    __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "pool",
-                 "request", "request_id", "response", "started_ns", "status")  # fmt: skip
+    __slots__ = ("_timer", "begun_ns", "connection", "deadline_ns", "endpoint", "flow", "load", "number",
+                 "on_begin", "on_body", "on_end", "pool", "request", "request_id", "response", "started_ns",
+                 "status")  # fmt: skip
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
-                 on_end: Callable[[Attempt], None]) -> None:  # fmt: skip
+                 on_end: Callable[[Attempt], None], on_begin: Callable[[Attempt], None] = _nothing,
+                 on_body: Callable[[Attempt], None] = _nothing) -> None:  # fmt: skip
+        """`on_begin`: a long answer begins, see `flow`. `on_body`: of a long body the first bytes have gone,
+        and then the last; see `started_ns`."""
         self.request_id, self.number, self.endpoint = request_id, number, endpoint
         self.request, self.deadline_ns, self.on_end = request, deadline_ns, on_end
-        self.started_ns = time.monotonic_ns()
+        self.on_begin, self.on_body = on_begin, on_body
+        self.started_ns = time.monotonic_ns()  # with a long body, when its last byte went; 0: not yet
+        self.begun_ns = 0  # when the first bytes of a long answer came
+        self.flow: Flow | None = None  # the body of a long answer
         self.status: Status | None = None
         self.response: http1.Response | None = None
         self.load: tuple[float, ...] = ()
@@ -42,6 +56,32 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_at(deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
 
+    def body_begins(self) -> None:
+        """The time for an answer starts with the body's last byte."""
+        self._timer.cancel()
+        self.deadline_ns -= time.monotonic_ns()  # what it will have then
+        self.started_ns = 0
+        self.on_body(self)
+
+    def body_ends(self) -> None:
+        self.started_ns = time.monotonic_ns()
+        self.deadline_ns += self.started_ns
+        if not self.flow:  # else the answer has begun before it was asked for
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(self.deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
+        self.on_body(self)
+
+    def begin(self, flow: Flow) -> None:
+        """From here on lack of progress ends it, and no deadline."""
+        self._timer.cancel()
+        self.begun_ns, self.flow = time.monotonic_ns(), flow
+        self.on_begin(self)
+
+    @property
+    def took_ns(self) -> int:
+        """Until the answer, or until its first bytes if it is long."""
+        return max(0, (self.begun_ns or time.monotonic_ns()) - self.started_ns) if self.started_ns else 0
+
     def end(self, status: Status, response: http1.Response | None = None) -> None:
         """The first end is the only one."""
         if self.status is None:
@@ -56,7 +96,7 @@
         if self.status is not None:
             return
         connection, self.connection = self.connection, None
-        if connection and status is Status.TIMEOUT:
+        if connection and status is Status.TIMEOUT and self.started_ns and not self.flow:
             connection.suspect(self.started_ns)
         unsent = connection is None or connection.unwritten
         if connection:
@@ -91,7 +131,7 @@
             attempt.end(Status.CONNECT_FAILED)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection, one attempt at a time."""
 
     def __init__(self, owner: Endpoints, pool: Pool) -> None:
@@ -99,10 +139,18 @@
         self._attempt: Attempt | None = None
         self._parser: http1.ResponseParser | None = None  # of the answer that is waited for
         self._transport: asyncio.Transport | None = None
-        self.unwritten = False  # part of the request has not left for the kernel: it can't have run
+        self._unflushed = False  # something written has not left for the kernel
+        self._upload: Flow | None = None  # the rest of the request's body
+        self._progress_ns = 0  # of a long body, either way
+        self._left = 0  # bytes unflushed at the last look
         self.idle_since = 0.0
         self._requests = self._bytes = 0  # begun on it; of the present answer
 
+    @property
+    def unwritten(self) -> bool:
+        """Part of the request has not left for the kernel: it can't have run."""
+        return self._unflushed or self._upload is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -111,10 +159,15 @@
         self._hold()
 
     def pause_writing(self) -> None:
-        self.unwritten = True
+        self._unflushed = True
+        if self._upload:
+            self._upload.hold()
 
     def resume_writing(self) -> None:
-        self.unwritten = False
+        self._unflushed = False
+        self._progress_ns = time.monotonic_ns()
+        if self._upload:
+            self._upload.go()
 
     def fresh(self) -> bool:
         """Danger: an idle connection may have been closed by the endpoint a moment ago, with the news still
@@ -129,11 +182,69 @@
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
         self._attempt, attempt.connection = attempt, self
-        self._parser = http1.ResponseParser()
+        self._parser = http1.ResponseParser(
+            on_flow=self._long_answer, bodiless=attempt.request.method == b"HEAD"
+        )
         self._requests, self._bytes = self._requests + 1, 0
         self._transport.write(data)
         # A write that fails at once leaves nothing in the buffer: the closing transport is what tells.
-        self.unwritten = self.unwritten or self._transport.is_closing()
+        self._unflushed = self._unflushed or self._transport.is_closing()
+        if attempt.request.flow:
+            self._progress_ns = time.monotonic_ns()
+            self._upload = attempt.request.flow
+            attempt.body_begins()
+            self._upload.attach(self)
+
+    # The request's long body, on its way here -----------------------------------------------------
+
+    def flow_data(self, data: bytes) -> None:
+        if self._upload and self._transport:
+            self._transport.write(data if self._upload.length is not None else http1.encode_chunk(data))
+            if self._unflushed:
+                self._upload.hold()
+
+    def flow_end(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload and upload.length is None and self._transport:
+            self._transport.write(http1.LAST_CHUNK)
+        if upload and self._attempt:
+            self._attempt.body_ends()
+
+    def flow_broken(self) -> None:
+        """The client's fault: whoever reads it ends the request."""
+
+    # The answer -----------------------------------------------------------------------------------
+
+    def _long_answer(self) -> Flow:
+        assert self._parser and self._transport and self._attempt
+        transport = self._transport
+        flow = Flow(self._parser.length, transport.pause_reading, self._read_on)
+        self._attempt.begin(flow)
+        return flow
+
+    def _read_on(self) -> None:
+        self._progress_ns = time.monotonic_ns()
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _hold_no_longer(self, parser: http1.ResponseParser) -> None:
+        if parser is self._parser and self._attempt:
+            parser.pass_on()
+
+    def is_stalled(self, before_ns: int) -> bool:
+        """A long body has made no progress since then, and not because its other side holds it."""
+        flow = self._attempt.flow if self._attempt else None
+        if self._attempt is None or self._transport is None or not (flow or self._upload):
+            return False
+        left, before = self._transport.get_write_buffer_size(), self._left
+        self._left = left
+        if flow and flow.paused or left != before or self._upload and not left:
+            self._progress_ns = time.monotonic_ns()
+        return self._progress_ns < before_ns
+
+    def end_stalled(self) -> None:
+        if self._attempt:
+            self._attempt.give_up(Status.TIMEOUT)
 
     def suspect(self, since_ns: int) -> None:
         """Danger: a machine that vanished leaves its connections open. A request written to an idle one
@@ -142,19 +253,28 @@
         if self._pool.heard_ns < since_ns:
             self._pool.close_idle()
 
-    def data_received(self, data: bytes) -> None:
-        self._pool.heard_ns = time.monotonic_ns()
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._pool.heard_ns = self._progress_ns = time.monotonic_ns()
         if self._attempt is None:
             self.discard()  # nobody asked
             return
-        self._bytes += len(data)
+        self._bytes += nbytes
         assert self._parser
-        response = self._parser.feed(data)
+        parser, had_head = self._parser, self._parser.status >= 200
+        response = parser.feed(read_buffer[:nbytes])
+        if parser is not self._parser:
+            return  # given up by whoever took the first bytes
         if response:
             self._answered(response)
-        elif self._parser.broken:
-            self._owner.log_broken(f"{self._history()}: no answer as HTTP has it: {data[:60]!r}")
+        elif parser.broken:
+            data = bytes(read_buffer[: min(nbytes, 60)])
+            self._owner.log_broken(f"{self._history()}: no answer as HTTP has it: {data!r}")
             self._end(Status.CONNECT_FAILED if self.unwritten else Status.RESET)
+        elif parser.status == 200 and not had_head and parser.length is None:
+            asyncio.get_running_loop().call_later(HOLD_S, self._hold_no_longer, parser)
 
     def _hold(self) -> None:
         self._owner.connections.add(self)
@@ -180,7 +300,7 @@
 
     def _history(self) -> str:
         assert self._attempt
-        took_ms = (time.monotonic_ns() - self._attempt.started_ns) / 1e6
+        took_ms = (time.monotonic_ns() - (self._attempt.started_ns or time.monotonic_ns())) / 1e6
         return (
             f"{self._attempt.request.headers.get(b'x-trace-id', b'').decode('latin-1')} at endpoint "
             f"{self._attempt.endpoint}, request {self._requests} on its connection, {took_ms:.0f} ms and "
@@ -206,6 +326,7 @@
                 response.headers.get(b"endpoint-load-metrics"), self._owner.columns
             )
         if reusable:
+            self._read_on()
             self._owner.release(self, self._pool)
         else:
             self.discard()
@@ -213,9 +334,12 @@
 
     def _forget_attempt(self) -> None:
         self._attempt = None
+        upload, self._upload = self._upload, None
+        if upload:
+            upload.drop()
         if self._parser:
-            self._parser.close()
-            self._parser = None
+            parser, self._parser = self._parser, None
+            parser.close()
 
     def discard(self) -> None:
         """Close without flushing: the rest of a given-up request must not leave."""
@@ -360,10 +484,13 @@
         return True
 
     async def sweep(self) -> None:
-        """Close idle connections well before the endpoint does."""
+        """Close idle connections well before the endpoint does, and those on which a long body stalls."""
         while True:
             await asyncio.sleep(SWEEP_S)
             oldest = time.monotonic() - self._idle_s
             for pool in self._pools.values():
                 while pool.idle and pool.idle[0].idle_since < oldest:
                     pool.idle.pop(0).discard()
+            before_ns = time.monotonic_ns() - int(STALL_S * 1e9)
+            for connection in [c for c in self.connections if c.is_stalled(before_ns)]:
+                connection.end_stalled()
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -14,6 +14,7 @@
 from anisespool import http1
 from anisespool.config import Config, Member, MemberList
 from anisespool.endpoints import Attempt, Endpoints
+from anisespool.flow import Flow
 from anisespool.maintenance import Order
 from anisespool.peers import Peers, shared_id
 from shuntlead import Balancer
@@ -32,6 +33,8 @@
     status: int
     body: bytes = b""
     retry_after_s: float = 0.0
+    flow: Flow | None = None  # in place of the body, where that is too long
+    length: int | None = None  # of the body that a HEAD asks about
 
 
 class Call(NamedTuple):
@@ -49,13 +52,14 @@
 class _Exchange:
     """A request from its arrival until its last attempt has ended."""
 
-    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "reply")
+    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "reply", "streaming")
 
     def __init__(self, call: Call, deadline_ns: int, reply: Callable[[Answer], None]) -> None:
         self.call, self.deadline_ns = call, deadline_ns
         self.reply: Callable[[Answer], None] | None = reply  # None: answered, or nobody waits
         self.attempts: list[Attempt] = []
         self.backstop: asyncio.TimerHandle | None = None
+        self.streaming = False  # the reply is on its way, and the last attempt brings the rest of it
 
 
 class Sidecar:
@@ -103,16 +107,22 @@
         request_id, now = self._next_request, time.monotonic_ns()
         left_ns = max(0, call.left_ns - ANSWER_RESERVE_NS)
         exchange = self._exchanges[request_id] = _Exchange(call, now + left_ns, reply)
-        loop = asyncio.get_running_loop()
-        last = now + max(0, call.left_ns - BACKSTOP_NS)
-        exchange.backstop = loop.call_at(last / 1e9, self._overdue, request_id)
-        event = api.Request(request_id, call.cls, left_ns, call.hint_ns, call.key, call.tenant, call.is_retry)
+        self._set_backstop(request_id, exchange)
+        event = api.Request(
+            request_id, call.cls, left_ns, call.hint_ns, call.key, call.tenant, call.is_retry,
+            has_long_body=call.request.flow is not None,
+        )  # fmt: skip
         self._handle(event)
         return request_id
 
+    def _set_backstop(self, request_id: int, exchange: _Exchange) -> None:
+        last_s = time.monotonic() + max(0, exchange.call.left_ns - BACKSTOP_NS) / 1e9
+        loop = asyncio.get_running_loop()
+        exchange.backstop = loop.call_at(last_s, self._overdue, request_id)
+
     def client_gone(self, request_id: int) -> None:
         exchange = self._exchanges.get(request_id)
-        if exchange and exchange.reply:
+        if exchange and (exchange.reply or exchange.streaming):
             self._close(exchange)
             self._handle(api.ClientGone(request_id))
             self._abandon(request_id, exchange)
@@ -259,21 +269,46 @@
             exchange.call.request,
             deadline,
             self._ended,
+            self._began,
+            self._body_moved,
         )
         exchange.attempts.append(attempt)
         self._endpoints.send(attempt)
 
+    def _body_moved(self, attempt: Attempt) -> None:
+        """Of a long body the first bytes have gone, or the last. What is gone can't be sent again; and only
+        from the last on does a request's time run."""
+        exchange = self._exchanges[attempt.request_id]
+        if exchange.backstop:
+            exchange.backstop.cancel()
+        if attempt.started_ns and exchange.reply:
+            self._set_backstop(attempt.request_id, exchange)
+        self._handle(api.BodyMoved(attempt.request_id, attempt.number, attempt.started_ns > 0))
+
+    def _began(self, attempt: Attempt) -> None:
+        exchange, flow = self._exchanges[attempt.request_id], attempt.flow
+        assert flow
+        if exchange.reply is None:
+            flow.drop()
+            return
+        self._answer(exchange, Answer(200, flow=flow))
+        exchange.streaming = True
+        self._handle(
+            api.FirstByte(attempt.request_id, attempt.endpoint, attempt.took_ns, attempt.number)
+        )
+
     def _ended(self, attempt: Attempt) -> None:
         exchange, status = self._exchanges[attempt.request_id], attempt.status
         assert status is not None
         if status is Status.OK and attempt.response and exchange.reply:
-            self._answer(exchange, Answer(200, attempt.response.body))
+            length = attempt.response.length if attempt.request.method == b"HEAD" else None
+            self._answer(exchange, Answer(200, attempt.response.body, length=length))
             over = True
         else:
             over = exchange.reply is None
         if status is Status.FULL and over:
             status = Status.MOOT
-        took = time.monotonic_ns() - attempt.started_ns
+        took = attempt.took_ns
         self._handle(
             api.Outcome(
                 attempt.request_id, attempt.endpoint, attempt.number, took, status, over, attempt.load
@@ -316,7 +351,7 @@
             reply(answer)
 
     def _close(self, exchange: _Exchange) -> None:
-        exchange.reply = None
+        exchange.reply, exchange.streaming = None, False
         if exchange.backstop:
             exchange.backstop.cancel()
 
--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -242,9 +242,20 @@
     tenant: int = 0
     is_retry: bool = False
     is_write: bool = False
+    has_long_body: bool = False  # too long to hold, so what has gone to an endpoint can't be sent again
+
+
+class BodyMoved(NamedTuple):
+    """Of a long body the first bytes have gone to an endpoint, or the last ones."""
+
+    request: int
+    attempt: int
+    whole: bool
 
 
 class FirstByte(NamedTuple):
+    """An answer too long to hold has begun, and passes on to the client."""
+
     request: int
     endpoint: int
     latency_ns: int
@@ -291,7 +302,7 @@
     sightings: tuple[Sighting, ...] = ()
 
 
-Event = Union[Roster, Request, FirstByte, Outcome, ClientGone, Timer, ProbeResult, PeerMessage]
+Event = Union[Roster, Request, BodyMoved, FirstByte, Outcome, ClientGone, Timer, ProbeResult, PeerMessage]
 
 
 # Actions ------------------------------------------------------------------------------------------
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -82,16 +82,18 @@
 
 
 class Attempt:
-    __slots__ = ("endpoint", "may_have_run", "open", "sent", "usual")
+    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "sent", "usual")
 
     def __init__(self, endpoint: Endpoint, sent: int, usual: float) -> None:
         self.endpoint, self.sent, self.usual = endpoint, sent, usual
         self.open = self.may_have_run = True
+        self.begun = False  # its long answer is on its way to the client
+        self.moving_since = 0  # a long body is on its way to the endpoint
 
 
 class Pending:  # a request from its arrival until its last attempt has ended
-    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "hold_until", "id", "key", "limit",
-                 "streaming")  # fmt: skip
+    __slots__ = ("aim", "attempts", "cls", "counted", "done", "event", "give_up", "hold_until", "id", "key",
+                 "limit", "streaming")  # fmt: skip
 
     def __init__(self, event: api.Request, cls: api.RequestClass, now: int, waited: int) -> None:
         self.id, self.event, self.cls = event.request, event, cls
@@ -101,7 +103,8 @@
         self.key = event.key if cls.in_order else 0  # not 0: it takes turns with others of the key
         self.hold_until = now + int(HOLD_SHARE * event.left_ns)  # with no endpoint that it may be sent to
         self.attempts: list[Attempt] = []
-        self.done = self.streaming = False
+        self.done = self.streaming = False  # streaming: bytes of a long body are gone, this way or that
+        self.counted = True  # among the open: neither its body nor its answer is merely passing through
 
     def risky(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
@@ -119,8 +122,9 @@
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Request: self._on_request, api.Outcome: self._on_outcome, api.Roster: self._on_roster,
-            api.Timer: self._on_timer, api.ClientGone: self._on_client, api.FirstByte: self._on_client,
-            api.PeerMessage: self._on_peer, api.ProbeResult: self._on_report}  # fmt: skip
+            api.Timer: self._on_timer, api.ClientGone: self._on_client, api.FirstByte: self._on_first_byte,
+            api.BodyMoved: self._on_body, api.PeerMessage: self._on_peer,
+            api.ProbeResult: self._on_report}  # fmt: skip
         self.logged: dict[str, int] = {}  # topic -> when it may be logged again
         self.endpoints: dict[int, Endpoint] = {}
         self.ready: list[Endpoint] = []  # those of the endpoints that may be sent to
@@ -425,6 +429,7 @@
         early, s = int(PATIENCE * usual), self.settings
         fits = self.now + early + AMPLE * usual < req.aim and len(req.attempts) + 1 < s.attempts_cap
         repeats = req.cls.effect is not Effect.ONCE and not req.cls.stream and self.retry_tokens >= 1
+        repeats = repeats and not req.event.has_long_body
         return early if fits and repeats else 0
 
     def _may_resend(self, req: Pending) -> bool:
@@ -450,7 +455,7 @@
     def _finish(self, req: Pending) -> None:
         """Cancel what can no longer help; forget the request once its last attempt has ended."""
         if not req.done:
-            self.open -= 1
+            self._count(req, False)
             if req.waits() and self.settings.may_cancel and not req.streaming:
                 self.actions.append(api.Cancel(req.id, len(req.attempts) - 1))
         req.done = True
@@ -461,13 +466,46 @@
             if not queue:
                 del self.turns[req.key]
 
-    def _on_client(self, event: api.ClientGone | api.FirstByte) -> None:
+    def _count(self, req: Pending, counted: bool) -> None:
+        self.open += counted - req.counted
+        req.counted = counted
+
+    def _on_client(self, event: api.ClientGone) -> None:
         req = self.pending.get(event.request)
-        if req and not req.done and isinstance(event, api.FirstByte):
-            req.streaming = True
-        elif req and not req.done:
+        if req and not req.done:
             self._finish(req)
 
+    def _on_body(self, event: api.BodyMoved) -> None:
+        """Danger: the time that a client takes to send a long body is no wait for the endpoint's answer."""
+        req = self.pending.get(event.request)
+        if req is None or req.done or event.attempt >= len(req.attempts):
+            return
+        attempt, req.streaming = req.attempts[event.attempt], True
+        if not event.whole:
+            attempt.moving_since, attempt.sent = self.now, 0
+        elif attempt.moving_since:
+            took, attempt.sent, attempt.moving_since = self.now - attempt.moving_since, self.now, 0
+            req.aim, req.limit, req.give_up = req.aim + took, req.limit + took, req.give_up + took
+        self._count(req, event.whole and not attempt.begun)
+
+    def _on_first_byte(self, event: api.FirstByte) -> None:
+        """The answer, for all that is learned of it: how long the rest takes is up to its length."""
+        req = self.pending.get(event.request)
+        if req is None or req.done or event.attempt >= len(req.attempts):
+            return
+        attempt = req.attempts[event.attempt]
+        if attempt.open and not attempt.begun:
+            answer = api.Outcome(req.id, event.endpoint, event.attempt, event.latency_ns, Status.OK, False)
+            self._learn_answer(req, attempt, answer)
+            attempt.begun = req.streaming = True
+            self._count(req, False)
+
+    def _learn_answer(self, req: Pending, attempt: Attempt, event: api.Outcome) -> None:
+        attempt.endpoint.answered = max(attempt.endpoint.answered, attempt.sent)
+        self._learn_class(req, event.latency_ns)
+        self.work.add(self.now, attempt.usual)
+        self._learn_endpoint(req, attempt, event)
+
     def _on_outcome(self, event: api.Outcome) -> None:
         req = self.pending.get(event.request)
         attempt = req.attempts[event.attempt] if req and event.attempt < len(req.attempts) else None
@@ -483,11 +521,9 @@
         if req.key and event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED):
             self._rest(req.key)
         self._on_report(event)
-        if event.status is Status.OK:
-            attempt.endpoint.answered = max(attempt.endpoint.answered, attempt.sent)
-            self._learn_class(req, event.latency_ns)
-            self.work.add(self.now, attempt.usual)
-        if event.status is not Status.MOOT:
+        if event.status is Status.OK and not attempt.begun:
+            self._learn_answer(req, attempt, event)
+        elif event.status not in (Status.OK, Status.MOOT):
             self._learn_endpoint(req, attempt, event)
         if event.finished or req.done:
             self._finish(req)
