Let the longest quiet make room in a crowd, and share descriptors in an upgrade

At fault: ClientConnection.claim put a served, idle connection before one half way through its first request, and SPARE_SOCKETS = 64 with equal halves left clients a third. Ruled out: EMFILE (none in the logs), servers (1.2 to 1.4 attempts in 5 s ended badly).

Now the one that has been quiet longest against what its kind may take goes at once, without the second to read why; servers get a third of the descriptors, as many as clients' requests may hold, and clients all that is left. Eight are accepted at a time. Not taken: counting each other's descriptors in a file, which lags behind a crowd.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -11,11 +11,12 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from anisespool.admin import Admin, Refused
+from anisespool.admin import MOST_CALLERS, Admin, Refused
 from anisespool.config import Address, Config, ConfigError, load, reload_discovery
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
 from anisespool.maintenance import Maintenance
+from anisespool.pair import Pair
 from anisespool.server import Server, open_listener
 from anisespool.sidecar import Sidecar
 from shuntlead.interface import RosterForm
@@ -23,7 +24,8 @@
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 0.5  # past the longest deadline of what was taken till then: nothing can still be in time
 BUFFERS_PART = 8  # of the memory, for long bodies on their way
-SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
+SPARE_SOCKETS = 24  # descriptors for all but clients, endpoints and operators
+ENDPOINTS_PART = 3  # of the descriptors: what clients' requests hold at most, and each wants a server
 LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
 ADMIN_BACKLOG = 128
 RESOURCES_S = 5.0  # between two lines of what is held: leaks show in the log long before they bite
@@ -33,22 +35,22 @@
     """One sidecar: its parts, what the operators may ask of it, and its start and end."""
 
     def __init__(self, config: Config) -> None:
-        settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
+        settings, (clients, servers) = config.settings, _shares(config, False)
         self._config = config
         self._endpoints = Endpoints(
-            settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most
+            settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
         )
         place = Maintenance.place(config.folder, config.name)
         self._maintenance = Maintenance(place, lambda ids: self._sidecar.orders_changed(ids))
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
         buffers = config.memory_bytes // BUFFERS_PART
-        self._server = Server(self._sidecar, config.names, settings, most, buffers)
+        self._server = Server(self._sidecar, config.names, settings, clients, buffers)
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None,
         )  # fmt: skip
         self._calls = {"READY": self._ready, "DISABLE ": self._disable, "ENABLE ": self._enable}
-        self._admin = Admin(self._calls, lambda: None)
+        self._admin = Admin(self._calls, self._server.make_room)
         self._listening = self._stopping = False
 
     async def run(
@@ -66,6 +68,10 @@
             works.append(self._maintenance.follow())
         if self._sidecar.peers:
             works.append(self._sidecar.peers.open())
+        if self._config.inherited_fd is not None and self._config.folder:
+            pair = Pair(self._config.folder, self._config.name, self._share)
+            pair.look()
+            works.append(pair.follow())
         tasks = [loop.create_task(work) for work in works]
         if self._config.inherited_fd is not None:
             await self._first_list(stop)
@@ -81,6 +87,13 @@
             task.cancel()
         self._admin.close()
 
+    def _share(self, two: bool) -> None:
+        """In an upgrade the limits are for both processes together."""
+        print(f"upgrade: {'two processes share the limits' if two else 'one process'}", file=sys.stderr)
+        clients, servers = _shares(self._config, two)
+        self._server.limit(clients)
+        self._endpoints.limit(servers)
+
     def _open_admin(self) -> None:
         if self._config.admin:
             try:
@@ -136,6 +149,14 @@
         await self._maintenance.order(server, out)
 
 
+def _shares(config: Config, two: bool) -> tuple[int, int]:
+    """Connections to clients and to servers that fit the limit on descriptors, in each process."""
+    processes = 2 if two else 1
+    servers = config.sockets // ENDPOINTS_PART // processes
+    spare = SPARE_SOCKETS + (MOST_CALLERS if config.admin else 0)
+    return max(8, config.sockets // processes - servers - spare), max(8, servers)
+
+
 async def run(
     config: Config,
     stop: asyncio.Event,
--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -10,7 +10,7 @@
 from anisespool.config import Address
 
 MAX_LINE = 512
-MOST_CALLERS = 32  # the one that has kept us waiting longest makes room for a further one
+MOST_CALLERS = 8  # the one that has kept us waiting longest makes room for a further one
 CALL_S = 2.25  # for a whole line: a peer that sends none is owed an end within 3 s
 LINGER_S = 0.5  # to let a caller read its answer, whatever else it has sent
 ACCEPT_PAUSE_S = 0.02  # with no descriptor left
--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -366,6 +366,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
 
+    def limit(self, most: int) -> None:
+        """Of those over it the idle ones go at once, those that have been so longest first."""
+        self._most = most
+        while len(self.connections) + self._opening > most and self._evict():
+            pass
+
     def log_traffic(self) -> None:
         """One line, to be added up over the fleet: so endpoints go by the names that all sidecars know."""
         rows = []
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import random
+import select
 import socket
 import struct
 import sys
@@ -12,6 +13,7 @@
 from collections import Counter, deque
 from contextlib import suppress
 from http import HTTPStatus
+from math import inf
 from urllib.parse import unquote_to_bytes
 
 from anisespool import http1
@@ -23,6 +25,8 @@
 BACKLOG = 512
 MOST_PIPELINED = 8  # requests read ahead on one connection
 HALF_WRITTEN_S = 1.0  # after the listener has closed
+ACCEPTED_AT_ONCE = 8
+PARTIAL_QUIET, SILENT_QUIET = 0.25, 8.0  # a second of it, in seconds between two requests
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
@@ -100,6 +104,7 @@
         self._download: Flow | None = None  # the rest of its answer
         self._held_at = 0.0  # since when a long body has nowhere to go; 0: it has
         self._waits_since = time.monotonic()  # for a request
+        self._heard_at = 0.0
         self._head_at = 0.0  # when the head of the latest request was whole
         self._since_head = 0  # bytes come since then
         self._chunked = False  # the long answer
@@ -137,6 +142,7 @@
         if self._closing:
             return
         now, began, in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
+        self._heard_at = now / 1e9
         self._queue.extend((request, now) for request in self._parser.feed(read_buffer[:nbytes]))
         if self._parser.partial and not began:
             late = 0.0 if self._served else LATE_START_S
@@ -347,22 +353,37 @@
 
     @property
     def may_go(self) -> bool:
-        """Nothing is owed on it, and nothing on its way out, but for a request that it has yet to bring."""
-        return not (self.owed or self._unread)
+        """Nothing is owed on it but a request that it has yet to bring, or an answer to be read."""
+        return not (self._busy or self._queue)
 
-    @property
-    def claim(self) -> tuple[bool, float]:
-        """Which of two that owe us a request keeps its descriptor: one that brought some, then the later."""
-        return self._served, self._waits_since
+    def quiet(self, now: float) -> float:
+        """For how long it has kept us waiting, against what its kind may take: the longest makes room. A
+        client writes as it connects, brings its next request some time after an answer, which it may also do
+        on a new connection, and may take seconds in the midst of one."""
+        if self._closing or self._unread:
+            return inf
+        if self._parser.partial:
+            return (now - self._heard_at) * PARTIAL_QUIET
+        return (now - self._waits_since) * (1.0 if self._served else SILENT_QUIET)
 
-    def end_wait(self) -> None:
-        """Its descriptor is wanted: end the wait for a request, or for the client to read its answer."""
-        if self._busy or not self._transport:
+    def make_room(self) -> None:
+        """Its descriptor is wanted now: there is no time to wait for the client's end."""
+        if not self._transport:
             return
-        if self._closing or self._unread:
+        self._server.connections.discard(self)  # or it would be chosen again before it has gone
+        if self._parser.partial and not self._closing:
+            self._transport.write(http1.encode_response(HTTPStatus.REQUEST_TIMEOUT, close=True))
+            self._closing = True
+            self._transport.close()
+        elif self._closing or self._unread:
             self._closing = True
             self._transport.abort()
-        elif self._parser.partial:
+        else:
+            self.close_if_idle()
+
+    def end_wait(self) -> None:
+        """It has had its time for a request, or the rest of one."""
+        if self._parser.partial:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.close_if_idle()
@@ -435,6 +456,10 @@
         """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
         return len(self.connections) > self._most
 
+    def limit(self, most: int) -> None:
+        """What is over that has to go as others come."""
+        self._most = most
+
     def retry_after_s(self) -> float:
         """When a place is likely to be free again. Danger: told the same, all would come back as one."""
         wait_ns = min(self.settings.max_retry_after_ns, min(c.target_ns for c in self.settings.classes))
@@ -443,9 +468,15 @@
     def admit(self, connection: ClientConnection) -> None:
         """Danger: those that bring no request must not hold the places of those that do."""
         self.connections.add(connection)
-        waiting = [c for c in self.connections if c.may_go and c is not connection] if self.crowded else []
+        if self.crowded:
+            self.make_room(connection)
+
+    def make_room(self, but: ClientConnection | None = None) -> None:
+        """A descriptor is wanted."""
+        waiting = [c for c in self.connections if c.may_go and c is not but]
         if waiting:
-            min(waiting, key=lambda c: c.claim).end_wait()
+            now = time.monotonic()
+            max(waiting, key=lambda c: c.quiet(now)).make_room()
 
     def share(self, connection: ClientConnection) -> int:
         """Bytes that may wait for one more client of a long answer."""
@@ -480,7 +511,11 @@
 
     def _accept(self) -> None:
         loop = asyncio.get_running_loop()
-        while self._listener:
+        # Danger: a crowd at the door must not keep the loop from all the others, nor take all descriptors
+        # before those that make room have gone.
+        for _ in range(ACCEPTED_AT_ONCE):
+            if not self._listener:
+                return
             try:
                 connected, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionError):
@@ -520,7 +555,10 @@
             # Clients use a connection for as long as it is open: closed now, they still find the listener.
             self._close_idle()
             await asyncio.sleep(accept_s)
-            self._accept()  # Danger: closing resets what still waits in the listener's queue
+            # Danger: closing resets what still waits in the listener's queue.
+            while self._listener and select.select([self._listener], [], [], 0)[0]:
+                self._accept()
+                await asyncio.sleep(0)
             self._end_listener()
         if self._accepting:
             await asyncio.wait(self._accepting)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -92,10 +93,12 @@
     assert starts[0] == starts[1] > 0 and starts[2] == 0
 
 
-async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
+async def start(env: dict[str, str], descriptors: int = 0) -> asyncio.subprocess.Process:
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.PIPE
     )
+    if descriptors:
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
     address = Address.parse(env["LB_LISTEN"])
     while True:
         try:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -29,6 +29,7 @@
     Endpoint,
     Peer,
     exchange,
+    free_port,
     limited,
     member,
     member_list,
@@ -42,7 +43,9 @@
     write_config,
 )
 from tests.support import MS, SECOND
+from tests.test_admin import call
 from tests.test_endpoints import GET, answer, hang_up, say_nothing
+from tests.test_program import start
 
 NEVER_RAN = answer("503 Busy", "X-Never-Ran: 1\r\n")
 
@@ -596,16 +599,61 @@
         await asyncio.sleep(0.02)
 
 
+@limited
+async def test_in_a_crowd_a_slow_client_keeps_its_place_before_those_that_have_been_served(
+    tmp_path: Path,
+) -> None:
+    data = raw_call("once", body=b"abc")
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        slow_one, writer = await asyncio.open_connection(*sidecar.address)
+        crowd = []
+        for n in range(300):  # twice as many as there is room for
+            if n % 20 == 0:
+                writer.write(data[n // 20 * 10 : n // 20 * 10 + 10])
+            reader, other = await asyncio.open_connection(*sidecar.address)
+            crowd.append(other)
+            other.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+            assert (await read_response(reader)).status == 200  # each new one gets in
+        writer.write(data[150:])
+        assert (await read_response(slow_one)).status == 200
+        for other in (*crowd, writer):
+            other.close()
+
+
+@limited
+async def test_operators_are_answered_in_time_with_a_crowd_at_the_door(tmp_path: Path) -> None:
+    """The program in a process of its own, with a limit on descriptors that the crowd is over."""
+    async with Endpoint().serve() as endpoint:
+        listen, admin = (Address("127.0.0.1", free_port()) for _ in range(2))
+        env = write_config(
+            tmp_path, endpoint.address, [member("s-0", endpoint.address)], "{}:{}".format(*listen)
+        )
+        process = await start(env | {"LB_ADMIN_ADDR": "{}:{}".format(*admin)}, descriptors=256)
+        crowd = []
+        for n in range(20):
+            crowd += [socket.create_connection(listen) for _ in range(25)]
+            if n % 2:
+                crowd.append(socket.create_connection(admin))
+            began = monotonic()
+            assert (await call(admin, b"READY\n")).startswith(b"SUCCESS")
+            assert monotonic() - began < 1.0
+        assert (await exchange(listen, raw_call())).status == 200
+        for each in crowd:
+            each.close()
+        process.kill()
+        await process.wait()
+
+
 @limited
 async def test_silent_peers_take_no_descriptors_from_those_that_bring_requests(tmp_path: Path) -> None:
-    """The limit of 256 descriptors leaves 96 to clients."""
+    """The limit of 256 descriptors leaves 147 to clients."""
     async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
         reader, writer = await asyncio.open_connection(*sidecar.address)
         writer.write(raw_call())
         assert (await read_response(reader)).status == 200
         silent_ones = [await asyncio.open_connection(*sidecar.address) for _ in range(250)]
         assert (await exchange(sidecar.address, raw_call())).status == 200  # all before it are accepted now
-        await until(lambda: sum(r.at_eof() or r.exception() is not None for r, _ in silent_ones) >= 150)
+        await until(lambda: sum(r.at_eof() or r.exception() is not None for r, _ in silent_ones) >= 100)
         for _ in range(3):
             writer.write(raw_call())
             assert (await read_response(reader)).status == 200
