Count long bodies that are merely on their way for no load at their server

At fault: _load took len(e.out), so the draw followed the slow clients. Ruled out: the sidecar's own time (0.5 ms to the first attempt), and connects (384 of 4311 attempts).

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -60,11 +60,12 @@
 
 
 class Endpoint:
-    __slots__ = ("row", "id", "zone", "weight", "ready", "out", "slow", "slow_at", "by_class",
+    __slots__ = ("row", "id", "zone", "weight", "ready", "out", "passing", "slow", "slow_at", "by_class",
                  "queue", "queue_at", "since", "warm_at", "ramp", "answered", "held", "held_at")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
+        self.passing = 0  # of those
         self.slow = 1.0  # x_i: response times over what their requests usually take
         self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
         self.queue = 0.0
@@ -82,18 +83,19 @@
 
 
 class Attempt:
-    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "sent", "usual")
+    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "passing", "sent", "usual")
 
     def __init__(self, endpoint: Endpoint, sent: int, usual: float) -> None:
         self.endpoint, self.sent, self.usual = endpoint, sent, usual
         self.open = self.may_have_run = True
         self.begun = False  # its long answer is on its way to the client
+        self.passing = False  # its body or answer is merely on its way: it waits for no work
         self.moving_since = 0  # a long body is on its way to the endpoint
 
 
 class Pending:  # a request from its arrival until its last attempt has ended
-    __slots__ = ("aim", "attempts", "cls", "counted", "done", "event", "give_up", "hold_until", "id", "key",
-                 "limit", "streaming")  # fmt: skip
+    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "hold_until", "id", "key", "limit",
+                 "streaming")  # fmt: skip
 
     def __init__(self, event: api.Request, cls: api.RequestClass, now: int, waited: int) -> None:
         self.id, self.event, self.cls = event.request, event, cls
@@ -104,11 +106,13 @@
         self.hold_until = now + int(HOLD_SHARE * event.left_ns)  # with no endpoint that it may be sent to
         self.attempts: list[Attempt] = []
         self.done = self.streaming = False  # streaming: bytes of a long body are gone, this way or that
-        self.counted = True  # among the open: neither its body nor its answer is merely passing through
 
     def risky(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
 
+    def passing(self) -> bool:
+        return bool(self.attempts) and self.attempts[-1].passing
+
     def waits(self) -> bool:
         return bool(self.attempts) and self.attempts[-1].open
 
@@ -264,7 +268,7 @@
 
     def _load(self, e: Endpoint) -> float:
         """L_i: the reported queue, faded by age toward the fleet's, and own sends since."""
-        out, fade = len(e.out), exp2((e.queue_at - self.now) / self.forget_ns)
+        out, fade = len(e.out) - e.passing, exp2((e.queue_at - self.now) / self.forget_ns)
         queue = self.mean_queue + (e.queue - self.mean_queue) * fade
         return max(out, queue + min(e.since, out))
 
@@ -455,7 +459,7 @@
     def _finish(self, req: Pending) -> None:
         """Cancel what can no longer help; forget the request once its last attempt has ended."""
         if not req.done:
-            self._count(req, False)
+            self.open -= not req.passing()
             if req.waits() and self.settings.may_cancel and not req.streaming:
                 self.actions.append(api.Cancel(req.id, len(req.attempts) - 1))
         req.done = True
@@ -466,9 +470,12 @@
             if not queue:
                 del self.turns[req.key]
 
-    def _count(self, req: Pending, counted: bool) -> None:
-        self.open += counted - req.counted
-        req.counted = counted
+    def _set_passing(self, req: Pending, attempt: Attempt, passing: bool) -> None:
+        """Danger: a few slow clients of long bodies would pass for load, here and at their endpoint."""
+        change, attempt.passing = passing - attempt.passing, passing
+        attempt.endpoint.passing += change
+        if not req.done:  # else it is no longer among the open
+            self.open -= change
 
     def _on_client(self, event: api.ClientGone) -> None:
         req = self.pending.get(event.request)
@@ -486,7 +493,7 @@
         elif attempt.moving_since:
             took, attempt.sent, attempt.moving_since = self.now - attempt.moving_since, self.now, 0
             req.aim, req.limit, req.give_up = req.aim + took, req.limit + took, req.give_up + took
-        self._count(req, event.whole and not attempt.begun)
+        self._set_passing(req, attempt, attempt.begun or not event.whole)
 
     def _on_first_byte(self, event: api.FirstByte) -> None:
         """The answer, for all that is learned of it: how long the rest takes is up to its length."""
@@ -498,7 +505,7 @@
             answer = api.Outcome(req.id, event.endpoint, event.attempt, event.latency_ns, Status.OK, False)
             self._learn_answer(req, attempt, answer)
             attempt.begun = req.streaming = True
-            self._count(req, False)
+            self._set_passing(req, attempt, True)
 
     def _learn_answer(self, req: Pending, attempt: Attempt, event: api.Outcome) -> None:
         attempt.endpoint.answered = max(attempt.endpoint.answered, attempt.sent)
@@ -514,6 +521,7 @@
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
         e = attempt.endpoint
         e.out.pop((req.id, event.attempt), None)
+        self._set_passing(req, attempt, False)
         if event.status in (Status.OK, Status.ERROR, Status.FULL):
             e.held_at = self.now
         elif self.settings.streams_per_conn == 1 and e.held:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1005,6 +1005,32 @@
     assert abs(car.balancer._slowdown(e) - slow) < 0.5
 
 
+def test_long_bodies_on_their_way_are_no_load_at_their_endpoint() -> None:
+    """Danger: where slow clients read long answers, the draw would follow them and not the work."""
+    car = Sidecar([listed(1), listed(2)])
+    car.serve(40)
+    e = car.balancer.endpoints[1]
+    for kind in ("answer", "body"):
+        out: list[api.Send] = []
+        while len(out) < 6:
+            [send] = sends(car.request(2, has_long_body=kind == "body"))
+            if kind == "answer":
+                event: api.Event = api.FirstByte(send.request, send.endpoint, 50 * MS, 0)
+            else:
+                event = api.BodyMoved(send.request, 0, False)
+            if send.endpoint == 1:
+                out.append(send)
+                car.balancer.handle(car.now, event)
+            else:
+                car.outcome(send)
+        assert car.balancer._load(e) == 0 and car.balancer.open == 0
+        for n, send in enumerate(out):
+            if n % 2:
+                car.balancer.handle(car.now, api.ClientGone(send.request))
+            car.outcome(send, Status.CANCELLED if n % 2 else Status.OK)
+        assert (e.passing, len(e.out), car.balancer.open, len(car.balancer.pending)) == (0, 0, 0, 0)
+
+
 def test_a_long_answer_that_breaks_off_is_not_asked_for_again() -> None:
     car = Sidecar([listed(1), listed(2)])
     [send] = sends(car.request())
