Take no server for busy before any report has come

At fault: busy = 1.0 at the start, moved by a tenth with each report, so some five answers pass before it can fall below three quarters, and the room in which requests may be open is small in just that time. Now the first reports are averaged as they come, and before any nothing is refused.

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -153,7 +153,9 @@
         self.strain, self.strain_at, self.told_at = 0.0, 0, 0  # strain: as usual_share, of late, all attempts
         self.work, self.offered = Rate(settings.fall_ns), Rate(settings.fall_ns)  # answered, sent
         figures = [*settings.report_columns, "queue", "inflight"]  # past the end: not reported
-        self.busy = 1.0  # mean part of the endpoints' cores in use, by their reports of late
+        # Mean part of the endpoints' cores in use, by their reports of late. Danger: taken for full before
+        # any has come, a process that has just started refuses what idle endpoints would serve.
+        self.busy, self.reports = 0.0 if "util" in settings.report_columns else 1.0, 0
         self.cold_busy, self.cold_at = 1.0, 0
         self.util_column = (*settings.report_columns, "util").index("util")
         self.load_column = figures.index("queue" if "queue" in settings.report_columns else "inflight")
@@ -199,7 +201,8 @@
         e, load = self.endpoints.get(event.endpoint), event.load
         if e and self.util_column < len(load) and 0 <= load[self.util_column] <= 2:
             util = min(load[self.util_column], 1.0)
-            self.busy += BUSY_ALPHA * (util - self.busy)
+            self.reports += 1
+            self.busy += max(BUSY_ALPHA, 1 / self.reports) * (util - self.busy)
             if self.now < e.warm_at:
                 known = self._cold_busy()
                 self.cold_busy, self.cold_at = known + BUSY_ALPHA * (util - known), self.now
@@ -398,7 +401,8 @@
         if not busy and self.open > room:  # Danger: what is stuck at a stalled endpoint would fill the room
             busy = sum(not r.done and self.now < r.aim for r in self.pending.values()) > room
         if busy:
-            self._log("refusing", f"{self.open} open, room {room:.0f}, waits {self._strain():.0%} of targets")
+            waits = f"waits {self._strain():.0%} of targets, {self.busy:.0%} of cores in use"
+            self._log("refusing", f"{self.open} open, room {room:.0f}, {waits}")
         return busy
 
     def _strain(self, sample: float = 0.0, alpha: float = 0.0) -> float:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -440,6 +440,16 @@
         assert any(finals(car.request()) for _ in range(30)) is refused
 
 
+def test_a_process_that_has_just_started_refuses_nothing_before_reports_tell_of_an_overload() -> None:
+    for util, refused in ((None, False), (0.3, False), (0.95, True)):
+        car = Sidecar([listed(1), listed(2)], report__columns=["util", "queue"])
+        for _ in range(3):
+            [send] = sends(car.request())
+            car.now += 300 * MS
+            car.outcome(send, latency_ns=300 * MS, load=() if util is None else (util, 0.0))
+        assert any(finals(car.request()) for _ in range(30)) is refused
+
+
 def refused_at_steady_load(took_ns: int, gap_ns: int, seconds: int = 20, **changes: Any) -> float:
     """The part refused in the second half where every answer takes `took_ns`, whatever the load."""
     car = Sidecar([listed(n) for n in range(1, 5)], **changes)
