--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -8,7 +8,7 @@
 import resource
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from anisespool.admin import MOST_CALLERS, Admin, Refused
@@ -41,7 +41,7 @@
             settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
         )
         place = Maintenance.place(config.folder, config.name)
-        self._maintenance = Maintenance(place, lambda ids: self._sidecar.orders_changed(ids))
+        self._maintenance = Maintenance(place, self._ordered)
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
@@ -143,6 +143,14 @@
         await self._order(server, False)
         return f"{server} may serve"
 
+    def _ordered(self, servers: Iterable[str]) -> None:
+        """By a call here, or at the other process of an upgrade."""
+        servers = list(servers)
+        for server in servers:
+            state = "out" if self._maintenance.orders[server].out else "called back, and cold from now"
+            print(f"maintenance: {server} is {state}", file=sys.stderr)
+        self._sidecar.orders_changed(servers)
+
     async def _order(self, server: str, out: bool) -> None:
         if not (self._sidecar.has_listed(server) or server in self._maintenance.orders):
             raise Refused(f"no server {server} has been listed")
--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -123,11 +123,17 @@
             name, argument = _parse(line)
             call = self._calls.get(name)
             if call is None:
-                raise Refused(f"no such call; there are {', '.join(n.strip() for n in self._calls)}")
+                raise Refused(self._usage(name.strip()))
             answer(f"SUCCESS {await call(argument)}".rstrip())
         except Refused as why:
             answer(f"FAILURE {why}")
 
+    def _usage(self, name: str) -> str:
+        for call in self._calls:
+            if call.strip() == name:
+                return f"{name} takes {'the id of a server' if call != name else 'nothing more'}"
+        return f"no such call; there are {', '.join(call.strip() for call in self._calls)}"
+
     def _watch(self) -> None:
         if self._listener:
             asyncio.get_running_loop().add_reader(self._listener, self._accept)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -58,10 +58,10 @@
         (b"READY\nDISABLE s-1\n", b"SUCCESS serving\n", ["READY"]),  # one line to a connection
         (b"DISABLE s-1\n", b"SUCCESS done\n", ["s-1"]),
         (b"DISABLE s-9\n", b"FAILURE no server s-9\n", ["s-9"]),
-        (b"DISABLE\n", b"FAILURE", []),
-        (b"READY now\n", b"FAILURE", []),
+        (b"DISABLE\n", b"FAILURE DISABLE takes the id of a server", []),
+        (b"READY now\n", b"FAILURE READY takes nothing more", []),
         (b"DISABLE s-1 s-2\n", b"FAILURE", []),
-        (b"STOP\n", b"FAILURE", []),
+        (b"STOP\n", b"FAILURE no such call; there are READY, DISABLE", []),
         (b"\n", b"FAILURE", []),
         (b"\xff\xfe\n", b"FAILURE", []),
         (b"DISABLE \x1b[2J\n", b"FAILURE", []),
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -181,9 +181,12 @@
 
 
 @limited
-async def test_with_all_servers_out_requests_are_refused(tmp_path: Path) -> None:
+async def test_with_all_servers_out_requests_are_refused(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
     async with Endpoint(OK).serve() as one, world(tmp_path, one, admin=True) as it:
         assert it.admin
         assert (await call(it.admin, b"DISABLE s-0\n")).startswith(b"SUCCESS")
         assert (await exchange(it.address, raw_call(left_ms=200))).status == 503
         assert not one.requests
+    assert "maintenance: s-0 is out\n" in capfd.readouterr().err
