--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -60,11 +60,12 @@
 
 
 class Endpoint:
-    __slots__ = ("row", "id", "zone", "weight", "ready", "out", "slow", "slow_at", "by_class",
+    __slots__ = ("row", "id", "zone", "weight", "ready", "out", "passing", "slow", "slow_at", "by_class",
                  "queue", "queue_at", "since", "warm_at", "ramp", "answered", "held", "held_at")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
+        self.passing = 0  # of those
         self.slow = 1.0  # x_i: response times over what their requests usually take
         self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
         self.queue = 0.0
@@ -82,18 +83,19 @@
 
 
 class Attempt:
-    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "sent", "usual")
+    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "passing", "sent", "usual")
 
     def __init__(self, endpoint: Endpoint, sent: int, usual: float) -> None:
         self.endpoint, self.sent, self.usual = endpoint, sent, usual
         self.open = self.may_have_run = True
         self.begun = False  # its long answer is on its way to the client
+        self.passing = False  # its body or answer is merely on its way: it waits for no work
         self.moving_since = 0  # a long body is on its way to the endpoint
 
 
 class Pending:  # a request from its arrival until its last attempt has ended
-    __slots__ = ("aim", "attempts", "cls", "counted", "done", "event", "give_up", "hold_until", "id", "key",
-                 "limit", "streaming")  # fmt: skip
+    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "hold_until", "id", "key", "limit",
+                 "streaming")  # fmt: skip
 
     def __init__(self, event: api.Request, cls: api.RequestClass, now: int, waited: int) -> None:
         self.id, self.event, self.cls = event.request, event, cls
@@ -104,11 +106,13 @@
         self.hold_until = now + int(HOLD_SHARE * event.left_ns)  # with no endpoint that it may be sent to
         self.attempts: list[Attempt] = []
         self.done = self.streaming = False  # streaming: bytes of a long body are gone, this way or that
-        self.counted = True  # among the open: neither its body nor its answer is merely passing through
 
     def risky(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
 
+    def passing(self) -> bool:
+        return bool(self.attempts) and self.attempts[-1].passing
+
     def waits(self) -> bool:
         return bool(self.attempts) and self.attempts[-1].open
 
@@ -149,7 +153,9 @@
         self.strain, self.strain_at, self.told_at = 0.0, 0, 0  # strain: as usual_share, of late, all attempts
         self.work, self.offered = Rate(settings.fall_ns), Rate(settings.fall_ns)  # answered, sent
         figures = [*settings.report_columns, "queue", "inflight"]  # past the end: not reported
-        self.busy = 1.0  # mean part of the endpoints' cores in use, by their reports of late
+        # Mean part of the endpoints' cores in use, by their reports of late. Danger: taken for full before
+        # any has come, a process that has just started refuses what idle endpoints would serve.
+        self.busy, self.reports = 0.0 if "util" in settings.report_columns else 1.0, 0
         self.cold_busy, self.cold_at = 1.0, 0
         self.util_column = (*settings.report_columns, "util").index("util")
         self.load_column = figures.index("queue" if "queue" in settings.report_columns else "inflight")
@@ -195,7 +201,8 @@
         e, load = self.endpoints.get(event.endpoint), event.load
         if e and self.util_column < len(load) and 0 <= load[self.util_column] <= 2:
             util = min(load[self.util_column], 1.0)
-            self.busy += BUSY_ALPHA * (util - self.busy)
+            self.reports += 1
+            self.busy += max(BUSY_ALPHA, 1 / self.reports) * (util - self.busy)
             if self.now < e.warm_at:
                 known = self._cold_busy()
                 self.cold_busy, self.cold_at = known + BUSY_ALPHA * (util - known), self.now
@@ -264,7 +271,7 @@
 
     def _load(self, e: Endpoint) -> float:
         """L_i: the reported queue, faded by age toward the fleet's, and own sends since."""
-        out, fade = len(e.out), exp2((e.queue_at - self.now) / self.forget_ns)
+        out, fade = len(e.out) - e.passing, exp2((e.queue_at - self.now) / self.forget_ns)
         queue = self.mean_queue + (e.queue - self.mean_queue) * fade
         return max(out, queue + min(e.since, out))
 
@@ -394,7 +401,8 @@
         if not busy and self.open > room:  # Danger: what is stuck at a stalled endpoint would fill the room
             busy = sum(not r.done and self.now < r.aim for r in self.pending.values()) > room
         if busy:
-            self._log("refusing", f"{self.open} open, room {room:.0f}, waits {self._strain():.0%} of targets")
+            waits = f"waits {self._strain():.0%} of targets, {self.busy:.0%} of cores in use"
+            self._log("refusing", f"{self.open} open, room {room:.0f}, {waits}")
         return busy
 
     def _strain(self, sample: float = 0.0, alpha: float = 0.0) -> float:
@@ -455,7 +463,7 @@
     def _finish(self, req: Pending) -> None:
         """Cancel what can no longer help; forget the request once its last attempt has ended."""
         if not req.done:
-            self._count(req, False)
+            self.open -= not req.passing()
             if req.waits() and self.settings.may_cancel and not req.streaming:
                 self.actions.append(api.Cancel(req.id, len(req.attempts) - 1))
         req.done = True
@@ -466,9 +474,12 @@
             if not queue:
                 del self.turns[req.key]
 
-    def _count(self, req: Pending, counted: bool) -> None:
-        self.open += counted - req.counted
-        req.counted = counted
+    def _set_passing(self, req: Pending, attempt: Attempt, passing: bool) -> None:
+        """Danger: a few slow clients of long bodies would pass for load, here and at their endpoint."""
+        change, attempt.passing = passing - attempt.passing, passing
+        attempt.endpoint.passing += change
+        if not req.done:  # else it is no longer among the open
+            self.open -= change
 
     def _on_client(self, event: api.ClientGone) -> None:
         req = self.pending.get(event.request)
@@ -486,7 +497,7 @@
         elif attempt.moving_since:
             took, attempt.sent, attempt.moving_since = self.now - attempt.moving_since, self.now, 0
             req.aim, req.limit, req.give_up = req.aim + took, req.limit + took, req.give_up + took
-        self._count(req, event.whole and not attempt.begun)
+        self._set_passing(req, attempt, attempt.begun or not event.whole)
 
     def _on_first_byte(self, event: api.FirstByte) -> None:
         """The answer, for all that is learned of it: how long the rest takes is up to its length."""
@@ -498,7 +509,7 @@
             answer = api.Outcome(req.id, event.endpoint, event.attempt, event.latency_ns, Status.OK, False)
             self._learn_answer(req, attempt, answer)
             attempt.begun = req.streaming = True
-            self._count(req, False)
+            self._set_passing(req, attempt, True)
 
     def _learn_answer(self, req: Pending, attempt: Attempt, event: api.Outcome) -> None:
         attempt.endpoint.answered = max(attempt.endpoint.answered, attempt.sent)
@@ -514,6 +525,7 @@
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
         e = attempt.endpoint
         e.out.pop((req.id, event.attempt), None)
+        self._set_passing(req, attempt, False)
         if event.status in (Status.OK, Status.ERROR, Status.FULL):
             e.held_at = self.now
         elif self.settings.streams_per_conn == 1 and e.held:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -440,6 +440,16 @@
         assert any(finals(car.request()) for _ in range(30)) is refused
 
 
+def test_a_process_that_has_just_started_refuses_nothing_before_reports_tell_of_an_overload() -> None:
+    for util, refused in ((None, False), (0.3, False), (0.95, True)):
+        car = Sidecar([listed(1), listed(2)], report__columns=["util", "queue"])
+        for _ in range(3):
+            [send] = sends(car.request())
+            car.now += 300 * MS
+            car.outcome(send, latency_ns=300 * MS, load=() if util is None else (util, 0.0))
+        assert any(finals(car.request()) for _ in range(30)) is refused
+
+
 def refused_at_steady_load(took_ns: int, gap_ns: int, seconds: int = 20, **changes: Any) -> float:
     """The part refused in the second half where every answer takes `took_ns`, whatever the load."""
     car = Sidecar([listed(n) for n in range(1, 5)], **changes)
@@ -1005,6 +1015,32 @@
     assert abs(car.balancer._slowdown(e) - slow) < 0.5
 
 
+def test_long_bodies_on_their_way_are_no_load_at_their_endpoint() -> None:
+    """Danger: where slow clients read long answers, the draw would follow them and not the work."""
+    car = Sidecar([listed(1), listed(2)])
+    car.serve(40)
+    e = car.balancer.endpoints[1]
+    for kind in ("answer", "body"):
+        out: list[api.Send] = []
+        while len(out) < 6:
+            [send] = sends(car.request(2, has_long_body=kind == "body"))
+            if kind == "answer":
+                event: api.Event = api.FirstByte(send.request, send.endpoint, 50 * MS, 0)
+            else:
+                event = api.BodyMoved(send.request, 0, False)
+            if send.endpoint == 1:
+                out.append(send)
+                car.balancer.handle(car.now, event)
+            else:
+                car.outcome(send)
+        assert car.balancer._load(e) == 0 and car.balancer.open == 0
+        for n, send in enumerate(out):
+            if n % 2:
+                car.balancer.handle(car.now, api.ClientGone(send.request))
+            car.outcome(send, Status.CANCELLED if n % 2 else Status.OK)
+        assert (e.passing, len(e.out), car.balancer.open, len(car.balancer.pending)) == (0, 0, 0, 0)
+
+
 def test_a_long_answer_that_breaks_off_is_not_asked_for_again() -> None:
     car = Sidecar([listed(1), listed(2)])
     [send] = sends(car.request())
