End idle connections over the limit at once when another process needs its part

At fault: Server.limit left what was over it until others came, while the new process took its half. Ruled out: connections to servers (45 and 50 of 64).

--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -88,7 +88,7 @@
 class Admin:
     """Listens for operators. Whoever is slow holds a place, and nobody else up."""
 
-    def __init__(self, calls: Mapping[str, Call], make_room: Callable[[], None]) -> None:
+    def __init__(self, calls: Mapping[str, Call], make_room: Callable[[], object]) -> None:
         """`calls` by name, with a blank at its end where an argument comes; `make_room` frees a place."""
         self._calls, self._make_room = calls, make_room
         self.callers: dict[Caller, None] = {}  # in the order in which they came
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -457,8 +457,10 @@
         return len(self.connections) > self._most
 
     def limit(self, most: int) -> None:
-        """What is over that has to go as others come."""
+        """Danger: what is over it is taken from the other process of an upgrade."""
         self._most = most
+        while self.crowded and self.make_room():
+            pass
 
     def retry_after_s(self) -> float:
         """When a place is likely to be free again. Danger: told the same, all would come back as one."""
@@ -471,12 +473,13 @@
         if self.crowded:
             self.make_room(connection)
 
-    def make_room(self, but: ClientConnection | None = None) -> None:
-        """A descriptor is wanted."""
+    def make_room(self, but: ClientConnection | None = None) -> bool:
+        """A descriptor is wanted; whether one will be free."""
         waiting = [c for c in self.connections if c.may_go and c is not but]
         if waiting:
             now = time.monotonic()
             max(waiting, key=lambda c: c.quiet(now)).make_room()
+        return bool(waiting)
 
     def share(self, connection: ClientConnection) -> int:
         """Bytes that may wait for one more client of a long answer."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -620,6 +620,36 @@
             other.close()
 
 
+@limited
+async def test_a_lower_limit_ends_idle_connections_at_once_and_none_that_is_owed_an_answer(
+    tmp_path: Path,
+) -> None:
+    """As when another process of an upgrade needs its part of the descriptors."""
+    release = asyncio.Event()
+
+    async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    async with Endpoint(held).serve() as endpoint:
+        config = load(write_config(tmp_path, endpoint.address, [member("s-0", endpoint.address)]))
+        sidecar = Sidecar(config, Endpoints((), 10**9, 10**10, 16))
+        sidecar.listed(config.known, RosterForm.CACHED)
+        listening = server.Server(sidecar, config.names, config.settings, 50)
+        address = listening.listen(Address("127.0.0.1", 0))
+        asking = [asyncio.create_task(exchange(address, raw_call(left_ms=15_000))) for _ in range(3)]
+        await until(lambda: len(endpoint.requests) == 3)
+        idle = [await asyncio.open_connection(*address) for _ in range(20)]
+        await until(lambda: len(listening.connections) == 23)
+        listening.limit(5)
+        assert len(listening.connections) == 5
+        ends = asyncio.gather(*(reader.read() for reader, _ in idle[:18]))
+        assert await ends == [b""] * 18
+        release.set()
+        assert [(await answer).status for answer in asking] == [200] * 3
+        await listening.stop(0.0)
+
+
 @limited
 async def test_operators_are_answered_in_time_with_a_crowd_at_the_door(tmp_path: Path) -> None:
     """The program in a process of its own, with a limit on descriptors that the crowd is over."""
