Let a process end only once its answers have left for the kernel

At fault: ClientConnection.idle and owed. Nor does one that still reads its answer make room in a crowd now.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -113,12 +113,17 @@
     @property
     def idle(self) -> bool:
         """Between requests, and nothing on its way out."""
-        return not (self._closing or self._busy or self._queue or self._parser.partial)
+        return not (self.owed or self._parser.partial)
 
     @property
     def owed(self) -> bool:
         """Its end must wait: a request is being answered, or an answer is still on its way out."""
-        return self._closing or self._busy or bool(self._queue)
+        return self._closing or self._busy or bool(self._queue) or self._unsent > 0
+
+    @property
+    def _unsent(self) -> int:
+        """Bytes of answers that have not left for the kernel: they would be lost with this process."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     @property
     def state(self) -> str:
@@ -353,8 +358,9 @@
 
     @property
     def may_go(self) -> bool:
-        """Nothing is owed on it but a request that it has yet to bring, or an answer to be read."""
-        return not (self._busy or self._queue)
+        """Nothing is owed on it but a request that it has yet to bring, or an answer that nobody reads."""
+        reads = self._unsent and time.monotonic() < self._moved_at + WAIT_S
+        return not (self._busy or self._queue or reads)
 
     def quiet(self, now: float) -> float:
         """For how long it has kept us waiting, against what its kind may take: the longest makes room. A
@@ -392,7 +398,7 @@
         """The client has had its time to send, or to read."""
         if not self._transport or self._transport.is_closing() and not self._left:
             return
-        left, before = self._transport.get_write_buffer_size(), self._left
+        left, before = self._unsent, self._left
         self._left = left
         if left != before or not left:
             self._moved_at = now
@@ -561,7 +567,7 @@
             # Danger: closing resets what still waits in the listener's queue.
             while self._listener and select.select([self._listener], [], [], 0)[0]:
                 self._accept()
-                await asyncio.sleep(0)
+                await asyncio.sleep(0.001)
             self._end_listener()
         if self._accepting:
             await asyncio.wait(self._accepting)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import hashlib
+import os
 import resource
+import signal
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
@@ -393,10 +395,28 @@
     try:
         yield running.pid, Address.parse(listen)
     finally:
-        running.kill()
+        with suppress(ProcessLookupError):  # it may have ended, as told
+            running.kill()
         await running.wait()
 
 
+@limited
+async def test_a_process_that_ends_first_hands_its_slow_clients_all_of_their_answers(tmp_path: Path) -> None:
+    async with Endpoint(WAYS["told"]).serve() as endpoint, process(tmp_path, endpoint) as (pid, address):
+        with socket.socket() as slow_one:
+            slow_one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow_one.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(slow_one, address)
+            await loop.sock_sendall(slow_one, raw_call())
+            got = await loop.sock_recv(slow_one, 4096)
+            os.kill(pid, signal.SIGTERM)
+            while data := await loop.sock_recv(slow_one, 8192):
+                got += data
+                await asyncio.sleep(0.003)
+        assert got.partition(b"\r\n\r\n")[2] == LONG
+
+
 @limited
 async def test_32_mb_each_way_with_slow_peers_take_little_memory(tmp_path: Path) -> None:
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PLENTY
