Keep the servers out in a state store, and answer an order once it is on disk

Design: anisespool/state/store.py, one SQLite file a sidecar name (stdlib sqlite3, WAL, synchronous=FULL, quick_check and user_version at open). Records carry the sidecar's name and ms time: others' are left out, future ones taken as of now, each kind in one `state:` line. Damaged or foreign-schema files are set aside and a new one begun; a busy or unopenable file is not (nothing says it is damaged): the sidecar runs from nothing. A marker beside the file counts loads that never ended; at two the third start sets the file aside. DISABLE/ENABLE answer SUCCESS only after the commit, else FAILURE "in this process only" (the order still holds here). The JSON file of earlier releases is merged at each start where later. New admin call STATE. Way not taken: keep the JSON file with fsync and flock. It has no check beyond parsing, its lock had to be polled on the loop, and each later record kind (verdicts, lists, stages) would need its own format. Location: LB_STATE_DIR over key state_dir over TMPDIR.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -15,10 +15,11 @@
 from anisespool.config import Address, Config, ConfigError, load, reload_discovery
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
-from anisespool.maintenance import Maintenance
+from anisespool.maintenance import Maintenance, NotDurable
 from anisespool.pair import Pair
 from anisespool.server import Server, open_listener
 from anisespool.sidecar import Sidecar
+from anisespool.state.store import SCHEMA, Store
 from shuntlead.interface import RosterForm
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
@@ -28,6 +29,7 @@
 ENDPOINTS_PART = 3  # of the descriptors: what clients' requests hold at most, and each wants a server
 LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
 ADMIN_BACKLOG = 128
+STATE_SHOWN = 20  # server ids in the answer to STATE: a line stays short however many are out
 RESOURCES_S = 5.0  # between two lines of what is held: leaks show in the log long before they bite
 
 
@@ -40,8 +42,9 @@
         self._endpoints = Endpoints(
             settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
         )
-        place = Maintenance.place(config.folder, config.name)
-        self._maintenance = Maintenance(place, self._ordered)
+        self._store = Store.open(config.state_dir, config.name) if config.state_dir else None
+        legacy = Maintenance.legacy_place(config.folder, config.name)
+        self._maintenance = Maintenance(self._store, self._ordered, legacy)
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
@@ -49,7 +52,8 @@
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None,
         )  # fmt: skip
-        self._calls = {"READY": self._ready, "DISABLE ": self._disable, "ENABLE ": self._enable}
+        self._calls = {"READY": self._ready, "DISABLE ": self._disable, "ENABLE ": self._enable,
+                       "STATE": self._state}  # fmt: skip
         self._admin = Admin(self._calls, self._server.make_room)
         self._listening = self._stopping = False
 
@@ -59,13 +63,12 @@
         """Until `stop` is set and all that was taken is answered. Discovery is watched where the
         configuration says, and from then on where `moves` does."""
         loop = asyncio.get_running_loop()
-        self._maintenance.read()
+        await self._maintenance.load()
         self._open_admin()
         self._sidecar.listed(self._config.known, RosterForm.CACHED)
         works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
                  _log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
-        if self._config.admin:
-            works.append(self._maintenance.follow())
+        works.append(self._maintenance.follow())
         if self._sidecar.peers:
             works.append(self._sidecar.peers.open())
         if self._config.inherited_fd is not None and self._config.folder:
@@ -86,6 +89,8 @@
         for task in tasks:
             task.cancel()
         self._admin.close()
+        if self._store:
+            self._store.close()
 
     def _share(self, two: bool) -> None:
         """In an upgrade the limits are for both processes together."""
@@ -143,6 +148,14 @@
         await self._order(server, False)
         return f"{server} may serve"
 
+    async def _state(self, argument: str) -> str:
+        """What the store keeps: the servers out, by id, the first few of them."""
+        if self._store is None:
+            raise Refused("no state store: orders hold in this process alone")
+        out = sorted(server for server, order in self._maintenance.orders.items() if order.out)
+        shown = " ".join(out[:STATE_SHOWN]) + (" ..." if len(out) > STATE_SHOWN else "")
+        return f"store {self._store.path.name} schema {SCHEMA}; {len(out)} out: {shown}".rstrip()
+
     def _ordered(self, servers: Iterable[str]) -> None:
         """By a call here, or at the other process of an upgrade."""
         servers = list(servers)
@@ -154,7 +167,10 @@
     async def _order(self, server: str, out: bool) -> None:
         if not (self._sidecar.has_listed(server) or server in self._maintenance.orders):
             raise Refused(f"no server {server} has been listed")
-        await self._maintenance.order(server, out)
+        try:
+            await self._maintenance.order(server, out)
+        except NotDurable as error:
+            raise Refused(str(error)) from None
 
 
 def _shares(config: Config, two: bool) -> tuple[int, int]:
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -101,6 +101,7 @@
     admin: Address | None = None  # where operators call; None: nowhere
     inherited_fd: int | None = None  # the clients' listening socket, where the platform holds it
     folder: Path | None = None  # what is in it outlives the process in an upgrade
+    state_dir: Path | None = None  # where the state store is; None: nothing outlives the process
 
 
 def load(env: Mapping[str, str]) -> Config:
@@ -128,6 +129,7 @@
         admin=_admin(env, raw),
         inherited_fd=_inherited_fd(env),
         folder=Path(env["TMPDIR"]) if env.get("TMPDIR") else None,
+        state_dir=_state_dir(env, raw),
     )
 
 
@@ -213,6 +215,15 @@
         raise ConfigError(f"LB_CONFIG: key admin_addr: {error}") from None
 
 
+def _state_dir(env: Mapping[str, str], raw: dict[str, Any]) -> Path | None:
+    """`LB_STATE_DIR`, over key `state_dir`, over `TMPDIR`, which both processes of an upgrade have."""
+    key = raw.get("state_dir")
+    if key is not None and not (isinstance(key, str) and key):
+        raise ConfigError(f"LB_CONFIG: key state_dir: {key!r} is no folder")
+    text = env.get("LB_STATE_DIR") or key or env.get("TMPDIR")
+    return Path(text) if text else None
+
+
 def _inherited_fd(env: Mapping[str, str]) -> int | None:
     text = env.get("LB_INHERITED_FD", "")
     if not text:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -29,6 +29,17 @@
         writer.close()
 
 
+
+async def until_ready(admin: Address) -> None:
+    """Until the process at this operators' address says READY."""
+    while True:
+        try:
+            if (await call(admin, b"READY\n")).startswith(b"SUCCESS"):
+                return
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
+
+
 @asynccontextmanager
 async def operators_address() -> AsyncIterator[tuple[Address, list[str]]]:
     asked: list[str] = []
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -34,7 +34,7 @@
     write_config,
 )
 from tests.support import SECOND, raw_settings
-from tests.test_admin import call
+from tests.test_admin import call, until_ready
 
 NOWHERE = Address("127.0.0.1", 1)
 
@@ -312,12 +312,8 @@
             sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.DEVNULL,
             pass_fds=(self.held.fileno(),),
         )  # fmt: skip
-        while True:
-            try:
-                if (await call(admin, b"READY\n")).startswith(b"SUCCESS"):
-                    return process, admin
-            except ConnectionRefusedError:
-                await asyncio.sleep(0.01)
+        await until_ready(admin)
+        return process, admin
 
 
 @asynccontextmanager
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,76 @@
+"""The state store by itself: damaged, foreign, from the future, or the cause of a crash loop."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+from pathlib import Path
+
+import pytest
+
+from anisespool.state import store
+from anisespool.state.store import Order, Store, place
+
+
+def _filled(folder: Path) -> Path:
+    it = Store.open(folder, "n0")
+    assert it
+    asyncio.run(it.merge({f"s-{n}": Order(True, 1_000 + n) for n in range(300)}))
+    it.close()  # which checkpoints the log into the file
+    return place(folder, "n0")
+
+
+@pytest.mark.parametrize("damage", ["truncated", "garbage", "foreign version", "crash loop"])
+def test_a_bad_store_is_set_aside_with_one_line_and_a_new_one_begun(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str], damage: str
+) -> None:
+    path = _filled(tmp_path)
+    if damage == "truncated":
+        path.write_bytes(path.read_bytes()[: path.stat().st_size // 2])
+    elif damage == "garbage":
+        path.write_bytes(b"\x13" * 9000)
+    elif damage == "foreign version":
+        with sqlite3.connect(path) as connection:
+            connection.execute("PRAGMA user_version=99")
+    else:
+        path.with_name(path.name + ".loading").write_text(str(store.LOADS_BEFORE_ASIDE))
+    capfd.readouterr()
+    it = Store.open(tmp_path, "n0")
+    assert it and it.orders() == {}
+    assert capfd.readouterr().err.count("state: the store is set aside as sailbridge-n0.sqlite.aside-") == 1
+    asyncio.run(it.order("s-1", True))
+    assert set(it.orders()) == {"s-1"}
+    assert not path.with_name(path.name + ".loading").exists()
+
+
+def test_a_store_that_cannot_be_had_is_logged_and_none(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "file").write_text("")
+    assert Store.open(tmp_path / "file", "n0") is None
+    assert capfd.readouterr().err.startswith("state: no state store at ")
+
+
+def test_an_empty_file_is_a_new_store(tmp_path: Path) -> None:
+    place(tmp_path, "n0").write_bytes(b"")
+    it = Store.open(tmp_path, "n0")
+    assert it and it.orders() == {}
+
+
+def test_records_of_other_sidecars_are_left_out_and_those_from_the_future_taken_as_of_now(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    path = _filled(tmp_path)
+    now = store.now_ms()
+    with sqlite3.connect(path) as connection:
+        late = now + 10 * store.FUTURE_MS
+        rows = [("n1", "s-x", 1, 5), ("n0", "s-y", 1, "soon"), ("n0", "s-late", 1, late)]
+        connection.executemany("INSERT INTO orders VALUES (?, ?, ?, ?)", rows)
+    it = Store.open(tmp_path, "n0")
+    assert it
+    orders = it.orders()
+    assert len(orders) == 301 and not {"s-x", "s-y"} & set(orders)
+    assert now <= orders["s-late"].at_ms < now + store.FUTURE_MS
+    err = capfd.readouterr().err
+    assert "state: 2 records of another sidecar or of no form left out" in err
+    assert "state: 1 orders from the future, by another clock, taken as of now" in err
