Start a restart from the last list of discovery that the state store kept

Cause: a restarted sidecar takes `known` from its configuration, which names as up servers that drained or went long since, and sends to them until its first list (README Open: 1 to 7 s). At start the stored list is used where its revision is later than `known` and it is at most 10 min old, else left out with one `state:` line. The watch still asks with `known`'s revision, so discovery answers as soon as before. Way not taken: store the module's Listed rows. Their zone and kind are places in the settings, which may change across a restart; discovery's own JSON is read again by the same check as a live line.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -19,6 +19,7 @@
 from anisespool.pair import Pair
 from anisespool.server import Server, open_listener
 from anisespool.sidecar import Sidecar
+from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import SCHEMA, Store
 from shuntlead.interface import RosterForm
 
@@ -48,9 +49,11 @@
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
+        self._snapshot = ListSnapshot(self._store) if self._store else None
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None,
+            on_raw=self._snapshot.heard if self._snapshot else None,
         )  # fmt: skip
         self._calls = {"READY": self._ready, "DISABLE ": self._disable, "ENABLE ": self._enable,
                        "STATE": self._state}  # fmt: skip
@@ -65,10 +68,15 @@
         loop = asyncio.get_running_loop()
         await self._maintenance.load()
         self._open_admin()
-        self._sidecar.listed(self._config.known, RosterForm.CACHED)
+        known = self._config.known
+        if self._snapshot:  # Danger: `known` may name as up what drained long since
+            known = self._snapshot.loaded(self._config.names, known)
+        self._sidecar.listed(known, RosterForm.CACHED)
         works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
                  _log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
         works.append(self._maintenance.follow())
+        if self._snapshot:
+            works.append(self._snapshot.follow())
         if self._sidecar.peers:
             works.append(self._sidecar.peers.open())
         if self._config.inherited_fd is not None and self._config.folder:
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -9,6 +9,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from typing import Any
 
 from anisespool import http1
 from anisespool.config import Address, MemberList, Names
@@ -28,8 +29,10 @@
     def __init__(
         self, address: Address, names: Names, known: MemberList, fleet_size: int, ask_within_ns: int,
         on_list: Callable[[MemberList], None], at_once: bool = False,
+        on_raw: Callable[[dict[str, Any], MemberList], None] | None = None,
     ) -> None:  # fmt: skip
-        self.address, self._names, self._on_list = address, names, on_list
+        """`on_raw`: told of each line as discovery wrote it, after `on_list`."""
+        self.address, self._names, self._on_list, self._on_raw = address, names, on_list, on_raw
         self._revision = known.revision
         self._buffer = b""
         ask_within_s = ask_within_ns / 1e9
@@ -101,11 +104,14 @@
 
     def _on_line(self, line: bytes) -> None:
         try:
-            update = self._names.member_list(json.loads(line))
+            raw = json.loads(line)
+            update = self._names.member_list(raw)
         except (ValueError, RecursionError) as error:
             # Danger: one line that nobody can read must not end the watch, nor hide those behind it.
             print(f"discovery: a line was skipped: {error}"[:300], file=sys.stderr)
             return
         self._revision = update.revision
         self._on_list(update)
+        if self._on_raw:
+            self._on_raw(raw, update)
         self.heard.set()
--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -1,8 +1,10 @@
 """The state store: what must outlive a process, in one SQLite file that both processes of an upgrade share.
 
-Shape: table `orders(sidecar, server, out, at_ms)`, one row a server, the later order holding; `PRAGMA
-user_version` is the schema. Each row carries its writer's sidecar name and its Unix time in ms. The file is
-in WAL mode with `synchronous=FULL`, so a commit has reached the disk before a yes depends on it.
+Shape: table `orders(sidecar, server, out, at_ms)`, one row a server, the later order holding; table
+`lists(sidecar, revision, at_ms, body)`, the last list of discovery in its own JSON form; `PRAGMA
+user_version` is the schema, and a file of schema 1 gains the second table. Each row carries its writer's
+sidecar name and its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a commit has
+reached the disk before a yes depends on it.
 
 Nothing here ends a sidecar: a store that cannot be opened, is damaged, of another version, or made the last
 starts crash is logged in one line, set aside where it is a file, and the sidecar runs from nothing.
@@ -20,10 +22,11 @@
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
 
-SCHEMA = 1
+SCHEMA = 2
 BUSY_MS = 1_000  # the other process of an upgrade writes one row at a time: a wait this long is a fault
 FUTURE_MS = 60_000  # a record younger than now by more than this was written under another clock
 CALL_BACK_KEPT_MS = 3_600_000  # a call back is of no more use once its server is warm
+LIST_KEPT_MS = 600_000  # an older list says less than the one in the configuration
 LOADS_BEFORE_ASIDE = 2  # loads that never ended: the third start sets the file aside (crash-loop guard)
 
 T = TypeVar("T")
@@ -114,6 +117,29 @@
         async with self._write_lock:
             return await asyncio.to_thread(self._transaction, _order, server, out)
 
+    def last_list(self) -> tuple[int, str] | None:
+        """The revision and JSON body of the last list stored, where it is this sidecar's, at most
+        LIST_KEPT_MS old and not from the future; else None, logged. Raises StoreError."""
+        try:
+            row = self._reader.execute(
+                "SELECT revision, at_ms, body FROM lists WHERE sidecar = ?", (self.name,)
+            ).fetchone()
+        except sqlite3.Error as error:
+            raise StoreError(f"the list cannot be read: {error}") from None
+        if row is None:
+            return None
+        revision, at_ms, body = row
+        age_ms = now_ms() - at_ms if isinstance(at_ms, int) else -FUTURE_MS - 1
+        if not (-FUTURE_MS <= age_ms <= LIST_KEPT_MS and isinstance(revision, int) and isinstance(body, str)):
+            log(f"the stored list is left out: {age_ms} ms old, or of no form")
+            return None
+        return revision, body
+
+    async def save_list(self, revision: int, body: str) -> None:
+        """Keep the list as discovery last said it. Raises StoreError."""
+        async with self._write_lock:
+            await asyncio.to_thread(self._transaction, _save_list, revision, body)
+
     async def merge(self, orders: dict[str, Order]) -> dict[str, Order]:
         """Take up orders from elsewhere, each where it is later than the stored one; those taken."""
         async with self._write_lock:
@@ -145,13 +171,17 @@
     if verdict != "ok":
         raise StoreError(f"damaged: {verdict}")
     version = connection.execute("PRAGMA user_version").fetchone()[0]
-    if version == 0:
+    if version < SCHEMA:  # new, or of the release before: what it has stays
         with connection:
             connection.execute("BEGIN IMMEDIATE")
             connection.execute(
                 "CREATE TABLE IF NOT EXISTS orders (sidecar TEXT NOT NULL, server TEXT NOT NULL,"
                 " out INTEGER NOT NULL, at_ms INTEGER NOT NULL, PRIMARY KEY (sidecar, server))"
             )
+            connection.execute(
+                "CREATE TABLE IF NOT EXISTS lists (sidecar TEXT PRIMARY KEY, revision INTEGER NOT NULL,"
+                " at_ms INTEGER NOT NULL, body TEXT NOT NULL)"
+            )
             connection.execute(f"PRAGMA user_version={SCHEMA}")
     elif version != SCHEMA:
         raise StoreError(f"schema {version}, this release reads {SCHEMA}")
@@ -187,6 +217,13 @@
     return order
 
 
+def _save_list(connection: sqlite3.Connection, name: str, revision: int, body: str) -> None:
+    connection.execute(
+        "INSERT OR REPLACE INTO lists (sidecar, revision, at_ms, body) VALUES (?, ?, ?, ?)",
+        (name, revision, now_ms(), body),
+    )
+
+
 def _merge(connection: sqlite3.Connection, name: str, orders: dict[str, Order]) -> dict[str, Order]:
     held = dict(connection.execute("SELECT server, at_ms FROM orders WHERE sidecar = ?", (name,)).fetchall())
     later = {server: order for server, order in orders.items() if order.at_ms > held.get(server, -1)}
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,12 +7,26 @@
 import random
 import re
 import signal
+import sqlite3
 import sys
-from contextlib import suppress
+from contextlib import closing, suppress
 from pathlib import Path
 
 from anisespool.config import Address
-from tests.net import TellingDiscovery, free_port, member, member_list, write_config
+from anisespool.state.store import place
+from tests.net import (
+    OK,
+    Endpoint,
+    TellingDiscovery,
+    exchange,
+    free_port,
+    limited,
+    member,
+    member_list,
+    raw_call,
+    until,
+    write_config,
+)
 from tests.test_admin import call, until_ready
 
 KILLS = int(os.environ.get("SAILBRIDGE_KILLS", "25"))  # 200 by hand; each takes a start, some 0.4 s
@@ -29,8 +43,8 @@
         self.unsure: set[str] = set()  # an order that was under way at a kill may or may not hold
 
     async def start(self) -> tuple[asyncio.subprocess.Process, Address]:
-        admin = Address("127.0.0.1", free_port())
-        env = self.env | {"LB_ADMIN_ADDR": "{}:{}".format(*admin), "LB_LISTEN": f"127.0.0.1:{free_port()}"}
+        admin, self.listen = Address("127.0.0.1", free_port()), Address("127.0.0.1", free_port())
+        env = self.env | {"LB_ADMIN_ADDR": "{}:{}".format(*admin), "LB_LISTEN": "{}:{}".format(*self.listen)}
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.DEVNULL
         )
@@ -49,7 +63,7 @@
 
     async def out(self, admin: Address) -> set[str]:
         answer = (await call(admin, b"STATE\n")).decode()
-        found = re.fullmatch(r"SUCCESS store \S+ schema 1; (\d+) out:(.*)\n", answer)
+        found = re.fullmatch(r"SUCCESS store \S+ schema 2; (\d+) out:(.*)\n", answer)
         assert found, answer
         servers = set(found[2].split())
         assert len(servers) == int(found[1])
@@ -96,3 +110,34 @@
         assert len(kills.promised) == SERVERS
         process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
+
+
+@limited
+async def test_a_restart_with_discovery_down_sends_nothing_to_what_drained_before_the_kill(
+    tmp_path: Path,
+) -> None:
+    drains, stays = Endpoint(OK), Endpoint(OK)
+    async with drains.serve(), stays.serve():
+        rows = [member("s-0", drains.address), member("s-1", stays.address)]
+        later = member_list(3, [member("s-0", drains.address, "draining"), rows[1]])
+        async with TellingDiscovery(later).serve() as discovery:
+            kills = Kills(tmp_path, write_config(tmp_path, discovery.address, rows))  # known: both up
+            process, _ = await kills.start()
+            await until(lambda: _stored_revision(tmp_path) == 3)
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+        process, _ = await kills.start()  # discovery now refuses every call
+        for n in range(20):
+            assert (await exchange(kills.listen, raw_call(trace=f"r{n}"))).status == 200
+        assert not drains.requests and len(stays.requests) == 20
+        process.kill()
+        await process.wait()
+
+
+def _stored_revision(folder: Path) -> int:
+    try:
+        with closing(sqlite3.connect(f"file:{place(folder, 'n0')}?mode=ro", uri=True)) as connection:
+            row = connection.execute("SELECT revision FROM lists").fetchone()
+    except sqlite3.Error:
+        return 0
+    return int(row[0]) if row else 0
