Say in its own except clause that a busy store is not set aside

Need: on rereading the change, Store.open caught every DatabaseError and then re-raised the OperationalError inside the handler, which hid the one case that must not set the file aside. Change: an `except sqlite3.OperationalError: raise` clause ahead of the one that sets aside; the behaviour is the same.

--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -70,9 +70,9 @@
             guard.begin()
             try:
                 store = cls._open(path, name)
+            except sqlite3.OperationalError:
+                raise  # the file is busy, or cannot be opened: nothing says that it is damaged
             except (sqlite3.DatabaseError, StoreError) as error:
-                if isinstance(error, sqlite3.OperationalError):
-                    raise  # the file is busy, or cannot be opened: nothing says that it is damaged
                 _set_aside(path, str(error))
                 store = cls._open(path, name)
             guard.end()
