--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -15,12 +15,16 @@
 from anisespool.config import Address, Config, ConfigError, load, reload_discovery
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
+from anisespool.fleet.beside import BesideRates
+from anisespool.fleet.shared import FleetState
 from anisespool.maintenance import Maintenance, NotDurable
 from anisespool.pair import Pair
 from anisespool.server import Server, open_listener
 from anisespool.sidecar import Sidecar
+from anisespool.state.memory import Memory
 from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import SCHEMA, Store
+from anisespool.state.warm import WarmStart
 from shuntlead.interface import RosterForm
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
@@ -50,13 +54,20 @@
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
         self._snapshot = ListSnapshot(self._store) if self._store else None
+        self._memory = Memory(self._store, self._sidecar) if self._store else None
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None,
             on_raw=self._snapshot.heard if self._snapshot else None,
         )  # fmt: skip
+        self._beside = BesideRates(self._store, self._sidecar) if self._store else None
+        self._warm = None
+        if self._sidecar.peers:
+            self._fleet = FleetState(self._sidecar.peers, self._sidecar)
+            self._warm = WarmStart(self._sidecar.peers, self._sidecar, settings.fleet_size,
+                                   settings.self_index, self._watch.heard.is_set)  # fmt: skip
         self._calls = {"READY": self._ready, "DISABLE ": self._disable, "ENABLE ": self._enable,
-                       "STATE": self._state}  # fmt: skip
+                       "STATE": self._state, "FLEET": self._fleet_state}  # fmt: skip
         self._admin = Admin(self._calls, self._server.make_room)
         self._listening = self._stopping = False
 
@@ -72,20 +83,29 @@
         if self._snapshot:  # Danger: `known` may name as up what drained long since
             known = self._snapshot.loaded(self._config.names, known)
         self._sidecar.listed(known, RosterForm.CACHED)
+        if self._memory:
+            self._memory.load()
         works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
                  _log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
         works.append(self._maintenance.follow())
         if self._snapshot:
             works.append(self._snapshot.follow())
+        if self._memory:
+            works.append(self._memory.follow())
         if self._sidecar.peers:
             works.append(self._sidecar.peers.open())
         if self._config.inherited_fd is not None and self._config.folder:
+            if self._beside:
+                works.append(self._beside.follow())
             pair = Pair(self._config.folder, self._config.name, self._share)
             pair.look()
             works.append(pair.follow())
         tasks = [loop.create_task(work) for work in works]
         if self._config.inherited_fd is not None:
             await self._first_list(stop)
+        elif self._warm:
+            await self._warm.ask(self._watch.heard)
+            tasks.append(loop.create_task(self._warm.follow(self._watch.heard)))
         on_listening(self._listen())
         self._listening = True
         gc.freeze()  # what start-up made stays for good: no collection need look at it
@@ -104,6 +124,8 @@
         """In an upgrade the limits are for both processes together."""
         print(f"upgrade: {'two processes share the limits' if two else 'one process'}", file=sys.stderr)
         clients, servers = _shares(self._config, two)
+        if self._beside:
+            self._beside.two = two
         self._server.limit(clients)
         self._endpoints.limit(servers)
 
@@ -164,6 +186,18 @@
         shown = " ".join(out[:STATE_SHOWN]) + (" ..." if len(out) > STATE_SHOWN else "")
         return f"store {self._store.path.name} schema {SCHEMA}; {len(out)} out: {shown}".rstrip()
 
+    async def _fleet_state(self, argument: str) -> str:
+        """What is known of the fleet: tenants' rates a second and quotas, how old the reports are, and the
+        servers ejected."""
+        shared, tenants = self._sidecar.share_reports(), self._config.settings.tenants
+        rates = (f"{name} {shared.fleet[n]:.1f} of {tenants[n].quota_per_s:.1f}/s"
+                 for name, n in self._config.names.tenants.items())  # fmt: skip
+        ages = sorted(report.age_ns / 1e9 for report in shared.reports[1:])
+        oldest = f", the oldest {ages[-1]:.2f} s" if ages else ""
+        out = sorted(self._sidecar.names_of(verdict.endpoint for verdict in shared.ejected))
+        shown = " ".join(out[:STATE_SHOWN]) + (" ..." if len(out) > STATE_SHOWN else "")
+        return f"{', '.join(rates)}; {len(ages)} reports{oldest}; {len(out)} ejected: {shown}".rstrip()
+
     def _ordered(self, servers: Iterable[str]) -> None:
         """By a call here, or at the other process of an upgrade."""
         servers = list(servers)
--- a/anisespool/peers.py
+++ b/anisespool/peers.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from typing import cast
 
-from anisespool.config import PeerAddresses
+from anisespool.config import Address, PeerAddresses
 from shuntlead import interface as api
 from shuntlead.gossip import decode_peer, encode_peer
 
@@ -30,7 +30,10 @@
 
     def __init__(self, addresses: PeerAddresses, on_message: Callable[[api.PeerMessage], None]) -> None:
         self._addresses, self._on_message = addresses, on_message
+        self.addresses = addresses.peers
         self._senders = {address: number for number, address in enumerate(addresses.peers)}
+        self._kinds: dict[bytes, Callable[[int, bytes], bool]] = {}  # by their first byte, but for RELEASE
+        self.opened = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._closed = False
         self._full = False  # the kernel takes no more for now: an old message is worth nothing
@@ -61,26 +64,43 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
         if self._closed:
             self.close()
+        else:
+            self.opened.set()
 
-    def tell(self, peer: int, strain: float, sightings: tuple[api.Sighting, ...]) -> None:
-        """To one sidecar by its number, or to all (-1)."""
+    def handle(self, kind: bytes, on_data: Callable[[int, bytes], bool]) -> None:
+        """Further datagrams, by their first byte; `on_data` gets the sender's number and the rest, and says
+        whether it could be read."""
+        self._kinds[kind] = on_data
+
+    def send(self, peer: int, data: bytes) -> None:
+        """To one sidecar by its number, or to all (-1); may be lost at any time."""
         to = self._addresses.all if peer < 0 else None
         if 0 <= peer < len(self._addresses.peers):
             to = self._addresses.peers[peer]
-        if to is None or self._transport is None or self._full:
-            return
-        data = RELEASE + encode_peer(strain, sightings)
-        if len(data) <= MAX_DATAGRAM:
+        if to is not None:
+            self._send(data, to)
+
+    def tell(self, peer: int, strain: float, sightings: tuple[api.Sighting, ...]) -> None:
+        """To one sidecar by its number, or to all (-1)."""
+        self.send(peer, RELEASE + encode_peer(strain, sightings))
+
+    def _send(self, data: bytes, to: Address) -> None:
+        if len(data) <= MAX_DATAGRAM and self._transport is not None and not self._full:
             with suppress(OSError):  # may be lost at any time
                 self._transport.sendto(data, to)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         sender = self._senders.get(addr)  # type: ignore[call-overload]  # an Address equals its tuple
-        message = decode_peer(sender, data[1:]) if sender is not None and data[:1] == RELEASE else None
-        if message is None or len(data) > MAX_DATAGRAM:
+        if sender is None or len(data) > MAX_DATAGRAM or not self._read(sender, data):
             self._drop(len(data), addr)
-        else:
+
+    def _read(self, sender: int, data: bytes) -> bool:
+        if on_data := self._kinds.get(data[:1]):
+            return on_data(sender, data[1:])
+        message = decode_peer(sender, data[1:]) if data[:1] == RELEASE else None
+        if message is not None:
             self._on_message(message)
+        return message is not None
 
     def pause_writing(self) -> None:
         self._full = True
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -72,6 +72,7 @@
         hint_ns=None if hint_us is None else hint_us * 1000,
         key=_key(parts[-1]) if len(parts) > 1 else 0,
         is_retry=headers.get(b"x-second-try") == b"1",
+        dedup_key=_key(headers[b"idempotency-key"]) if headers.get(b"idempotency-key") else 0,
     )
 
 
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -8,7 +8,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from anisespool import http1
@@ -19,7 +19,7 @@
 from anisespool.peers import Peers, shared_id
 from shuntlead import Balancer
 from shuntlead import interface as api
-from shuntlead.interface import EndpointState, RosterForm, Status
+from shuntlead.interface import Effect, EndpointState, RosterForm, Status
 
 ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
 BACKSTOP_NS = 4_000_000  # the last moment at which the driver answers by itself
@@ -47,6 +47,41 @@
     hint_ns: int | None
     key: int
     is_retry: bool
+    dedup_key: int = 0
+
+
+class LearnedRow(NamedTuple):
+    """How slow a server was and how many waited there, in the module's terms, and when (Unix ms)."""
+
+    server: str
+    slow: float
+    queue: float
+    at_ms: int
+
+
+class VerdictRow(NamedTuple):
+    """A server that is ejected until then (Unix ms), and the failure that tipped it."""
+
+    server: str
+    until_ms: int
+    reason: Status
+
+
+class PinRow(NamedTuple):
+    """The dedup group that a key went to, in the module's terms, and until when it binds (Unix ms)."""
+
+    key: int
+    cls: int
+    zone: int
+    cell: int
+    until_ms: int
+
+
+class Remembered(NamedTuple):
+    """What outlives the process."""
+
+    learned: Sequence[LearnedRow]
+    verdicts: Sequence[VerdictRow]
 
 
 class _Exchange:
@@ -87,7 +122,19 @@
         self._actions: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Log: self._log, api.Fault: self._log,
-            api.CloseIdle: self._close_idle, api.Tell: self._tell}  # fmt: skip
+            api.CloseIdle: self._close_idle, api.Tell: self._tell,
+            api.TellVerdicts: self._tell_verdicts, api.Remember: self._remember,
+            api.Pin: self._pin, api.TellReports: self._tell_reports,
+            api.ShareReports: self._share_reports}  # fmt: skip
+        self.on_reports: Callable[[int, tuple[api.TenantReport, ...]], None] = lambda peer, reports: None
+        self._shared_reports = api.ShareReports((), (), (), ())
+        self._remembered = Remembered((), ())
+        self.on_remember: Callable[[], None] = lambda: None  # unasked too: a verdict is not to be lost
+        self.on_pin: Callable[[PinRow], None] = lambda row: None
+        self.on_verdicts: Callable[[int, Sequence[api.Verdict]], None] = lambda peer, rows: None
+        # Keys that have to be kept: where all servers drop a repeat, any of them may get it.
+        self.pins_keys = any(c.effect is Effect.BY_KEY and c.dedup_scope != "all"
+                             for c in config.settings.classes)  # fmt: skip
 
     @property
     def ready(self) -> bool:
@@ -110,7 +157,7 @@
         self._set_backstop(request_id, exchange)
         event = api.Request(
             request_id, call.cls, left_ns, call.hint_ns, call.key, call.tenant, call.is_retry,
-            has_long_body=call.request.flow is not None,
+            has_long_body=call.request.flow is not None, dedup_key=call.dedup_key,
         )  # fmt: skip
         self._handle(event)
         return request_id
@@ -213,6 +260,96 @@
         )
         self._handle(message._replace(sightings=seen))
 
+    def up_by_list(self) -> tuple[int, list[int]]:
+        """The list's revision and the shared ids of the servers that it has as up, whatever operators say."""
+        up = [shared_id(m.id) for m in self._members.values() if m.row.state == EndpointState.READY]
+        return self._revision, up
+
+    def peer_list(
+        self, sender: int, revision: int, low: int, high: int, is_up: Callable[[int], bool]
+    ) -> None:
+        """A peer's list, for the servers whose shared ids lie from low to high."""
+        asked = [(shared, number) for shared, number in self._by_shared.items() if low <= shared <= high]
+        event = api.PeerRoster(
+            sender, revision, tuple(n for shared, n in asked if is_up(shared)),
+            tuple(n for shared, n in asked if not is_up(shared)),
+        )  # fmt: skip
+        self._handle(event)
+
+    def peer_verdicts(self, sender: int, rows: Iterable[api.Verdict]) -> None:
+        """What a peer holds ejected, by shared ids."""
+        known = self._by_shared
+        told = tuple(v._replace(endpoint=known[v.endpoint]) for v in rows if v.endpoint in known)
+        self._handle(api.PeerVerdicts(sender, told))
+
+    def asked_by(self, peer: int, sightings: bool) -> None:
+        """A peer that starts wants to know what is ejected here, or also what was seen of servers."""
+        self._handle(api.PeerAsked(peer, sightings))
+
+    def _tell_verdicts(self, action: api.TellVerdicts) -> None:
+        rows = [v._replace(endpoint=self._shared[v.endpoint]) for v in action.verdicts
+                if v.endpoint in self._shared]  # fmt: skip
+        self.on_verdicts(action.peer, rows)
+
+    def names_of(self, numbers: Iterable[int]) -> list[str]:
+        """The ids of servers by the module's numbers."""
+        ids = {number: server for server, number in self._numbers.items()}
+        return [ids[n] for n in numbers if n in ids]
+
+    def tenant_reports(self, reports: tuple[api.TenantReport, ...]) -> None:
+        """What tenants ask of other sidecars."""
+        self._handle(api.TenantReports(reports))
+
+    def beside(self, left_ns: int, rates: tuple[float, ...]) -> None:
+        """What tenants ask of the other process of an upgrade; void after so much longer."""
+        self._handle(api.Beside(left_ns, rates))
+
+    def share_reports(self) -> api.ShareReports:
+        """What is known of tenants across the fleet, and the servers ejected."""
+        self._handle(api.TakeReports())
+        return self._shared_reports
+
+    def _tell_reports(self, action: api.TellReports) -> None:
+        self.on_reports(action.peer, action.reports)
+
+    def _share_reports(self, action: api.ShareReports) -> None:
+        self._shared_reports = action
+
+    # What outlives the process --------------------------------------------------------------------
+
+    def snapshot(self) -> Remembered:
+        """What the module knows now that its next process should."""
+        self._handle(api.TakeSnapshot())
+        return self._remembered
+
+    def recall(self, remembered: Remembered, pins: Sequence[PinRow]) -> None:
+        """What an earlier process knew, of servers that are listed now."""
+        now_ms, known = time.time_ns() // 1_000_000, self._numbers
+        self._handle(
+            api.Recall(
+                tuple(api.Sighting(known[r.server], r.slow, r.queue, max(0, now_ms - r.at_ms) * 1_000_000)
+                      for r in remembered.learned if r.server in known),
+                tuple(api.Verdict(known[r.server], (r.until_ms - now_ms) * 1_000_000, r.reason)
+                      for r in remembered.verdicts if r.server in known and r.until_ms > now_ms),
+                tuple(api.Pinned(*r[:4], (r.until_ms - now_ms) * 1_000_000) for r in pins),
+            )
+        )  # fmt: skip
+
+    def _remember(self, action: api.Remember) -> None:
+        now_ms = time.time_ns() // 1_000_000
+        ids = {number: server for server, number in self._numbers.items()}
+        self._remembered = Remembered(
+            [LearnedRow(ids[s.endpoint], s.slow, s.queue, now_ms - s.age_ns // 1_000_000)
+             for s in action.sightings if s.endpoint in ids],
+            [VerdictRow(ids[v.endpoint], now_ms + v.left_ns // 1_000_000, v.reason)
+             for v in action.verdicts if v.endpoint in ids],
+        )  # fmt: skip
+        self.on_remember()
+
+    def _pin(self, action: api.Pin) -> None:
+        until_ms = (time.time_ns() + action.pinned.left_ns) // 1_000_000
+        self.on_pin(PinRow(*action.pinned[:4], until_ms))
+
     # The module -----------------------------------------------------------------------------------
 
     def _handle(self, event: api.Event) -> None:
@@ -316,7 +453,8 @@
         )
 
     def _refuse(self, action: api.Refuse) -> None:
-        self._finish(action.request, Answer(503, b"refused\n", action.retry_after_ns / 1e9))
+        status, text = (429, b"over the quota\n") if action.over_quota else (503, b"refused\n")
+        self._finish(action.request, Answer(status, text, action.retry_after_ns / 1e9))
 
     def _fail(self, action: api.Fail) -> None:
         self._finish(action.request, Answer(502, b"failed\n"))
--- /dev/null
+++ b/anisespool/state/memory.py
@@ -0,0 +1,113 @@
+"""What a sidecar has learned, kept in the state store for its next process: how slow each server was, which
+are ejected and until when, and which dedup group a keyed request went to. What was learned is written every
+SNAPSHOT_S, a verdict and a key's group within PIN_S."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Iterable
+from contextlib import suppress
+
+from anisespool.sidecar import LearnedRow, PinRow, Remembered, Sidecar, VerdictRow
+from anisespool.state.store import Record, Store, StoreError, now_ms
+from shuntlead.interface import Status
+
+SNAPSHOT_S = 1.0  # between two writes of what was learned: the most of it that a crash loses
+PIN_S = 0.02  # between two writes of what binds
+LEARNED_KEPT_MS = 60_000  # an older response time says nothing of now
+LEARNED, VERDICT, PIN = "learned", "verdict", "pin"
+
+
+class Memory:
+    def __init__(self, store: Store, sidecar: Sidecar) -> None:
+        self._store, self._sidecar = store, sidecar
+        self._pins: list[Record] = []  # not yet written
+        self._has_pins = asyncio.Event()
+        self._written: dict[str, int] = {}  # server -> when what was written of it was learned
+        self._ejected = asyncio.Event()
+        self._complaint = ""
+        sidecar.on_pin, sidecar.on_remember = self.pin, self._ejected.set
+
+    def load(self) -> None:
+        """Hand the module what the store has; a record of no form is left out."""
+        try:
+            learned = [_learned(r) for r in self._store.records(LEARNED)]
+            verdicts = [VerdictRow(r.id, r.until_ms, Status(int(r.body)))
+                        for r in self._store.records(VERDICT)]  # fmt: skip
+            self._sidecar.recall(Remembered(learned, verdicts), self._read_pins())
+        except StoreError as error:
+            self._complain(str(error))
+        except (ValueError, TypeError) as error:
+            self._complain(f"what was learned is left out, a record has another form: {error}")
+
+    async def follow(self) -> None:
+        await asyncio.gather(self._follow_learned(), self._follow_pins(), self._follow_other())
+
+    def pin(self, row: PinRow) -> None:
+        self._pins.append(Record(PIN, f"{row.key:x}", now_ms(), row.until_ms, json.dumps(row[:4])))
+        self._has_pins.set()
+
+    async def _follow_learned(self) -> None:
+        while True:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._ejected.wait(), SNAPSHOT_S)
+            rows = self._changed(self._sidecar.snapshot())
+            self._ejected.clear()  # the snapshot set it too
+            if rows:
+                await self._write(rows)
+            await asyncio.sleep(PIN_S)
+
+    async def _follow_pins(self) -> None:
+        while True:
+            await self._has_pins.wait()
+            self._has_pins.clear()
+            rows, self._pins = self._pins, []
+            await self._write(rows)
+            await asyncio.sleep(PIN_S)
+
+    async def _follow_other(self) -> None:
+        """Keys that the other process of an upgrade has sent since the last look."""
+        while self._sidecar.pins_keys:
+            await asyncio.sleep(PIN_S)
+            if self._store.changed(PIN):
+                try:
+                    self._sidecar.recall(Remembered((), ()), self._read_pins())
+                except (StoreError, ValueError, TypeError) as error:
+                    self._complain(str(error))
+
+    def _changed(self, known: Remembered) -> list[Record]:
+        now = now_ms()
+        fresh = [row for row in known.learned if row.at_ms > self._written.get(row.server, 0)]
+        self._written = {row.server: row.at_ms for row in known.learned}
+        return [
+            *(Record(LEARNED, r.server, r.at_ms, r.at_ms + LEARNED_KEPT_MS,
+                     json.dumps((round(r.slow, 3), round(r.queue, 3)))) for r in fresh),
+            *(Record(VERDICT, r.server, now, r.until_ms, str(int(r.reason))) for r in known.verdicts),
+        ]  # fmt: skip
+
+    async def _write(self, rows: Iterable[Record]) -> None:
+        try:
+            await self._store.put(rows)
+            self._complaint = ""
+        except StoreError as error:
+            self._complain(f"what was learned is not stored: {error}")
+
+    def _read_pins(self) -> list[PinRow]:
+        return [_pin(record) for record in self._store.records(PIN)]
+
+    def _complain(self, text: str) -> None:
+        if text != self._complaint:
+            self._complaint = text
+            print(f"state: {text}"[:300], file=sys.stderr)
+
+
+def _learned(record: Record) -> LearnedRow:
+    slow, queue = json.loads(record.body)
+    return LearnedRow(record.id, float(slow), float(queue), record.at_ms)
+
+
+def _pin(record: Record) -> PinRow:
+    key, cls, zone, cell = json.loads(record.body)
+    return PinRow(int(key), int(cls), int(zone), int(cell), record.until_ms)
--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -1,10 +1,12 @@
 """The state store: what must outlive a process, in one SQLite file that both processes of an upgrade share.
 
 Shape: table `orders(sidecar, server, out, at_ms)`, one row a server, the later order holding; table
-`lists(sidecar, revision, at_ms, body)`, the last list of discovery in its own JSON form; `PRAGMA
-user_version` is the schema, and a file of schema 1 gains the second table. Each row carries its writer's
-sidecar name and its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a commit has
-reached the disk before a yes depends on it.
+`lists(sidecar, revision, at_ms, body)`, the last list of discovery in its own JSON form; table
+`records(sidecar, kind, id, at_ms, until_ms, body)`, what was learned (anisespool/state/memory.py), each row
+void after `until_ms`. `PRAGMA user_version` is the schema; a file of schema 1 gains the second table, and
+the third does not change the schema, so that a release without it still reads the others. Each row carries
+its writer's sidecar name and its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a
+commit has reached the disk before a yes depends on it.
 
 Nothing here ends a sidecar: a store that cannot be opened, is damaged, of another version, or made the last
 starts crash is logged in one line, set aside where it is a file, and the sidecar runs from nothing.
@@ -17,7 +19,7 @@
 import sqlite3
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
@@ -37,6 +39,14 @@
     at_ms: int  # Unix time
 
 
+class Record(NamedTuple):
+    kind: str
+    id: str
+    at_ms: int  # when it was learned, Unix time
+    until_ms: int  # void from then on
+    body: str
+
+
 class StoreError(Exception):
     """The store could not do what was asked; the text says why."""
 
@@ -57,7 +67,7 @@
         self.path, self.name = path, name
         self._reader, self._writer = reader, writer
         self._write_lock = asyncio.Lock()
-        self._version = -1
+        self._versions: dict[str, int] = {}  # by who looks
 
     @classmethod
     def open(cls, folder: Path, name: str) -> Store | None:
@@ -96,10 +106,10 @@
         self._reader.close()
         self._writer.close()
 
-    def changed(self) -> bool:
-        """Another connection has committed since the last look. Cheap: no row is read."""
+    def changed(self, looker: str = "") -> bool:
+        """Another connection has committed since the last look of this looker. Cheap: no row is read."""
         version = self._reader.execute("PRAGMA data_version").fetchone()[0]
-        seen, self._version = self._version, version
+        seen, self._versions[looker] = self._versions.get(looker, -1), version
         return bool(version != seen)
 
     def orders(self) -> dict[str, Order]:
@@ -140,6 +150,32 @@
         async with self._write_lock:
             await asyncio.to_thread(self._transaction, _save_list, revision, body)
 
+    def records(self, kind: str) -> list[Record]:
+        """This sidecar's records of a kind that still hold. Those of other sidecars, from the future, too old
+        or of no form are left out, in one log line but for the old. Raises StoreError."""
+        try:
+            rows = self._reader.execute(
+                "SELECT sidecar, id, at_ms, until_ms, body FROM records WHERE kind = ?", (kind,)
+            ).fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(f"the {kind} records cannot be read: {error}") from None
+        now, kept, bad = now_ms(), [], 0
+        for sidecar, key, at_ms, until_ms, body in rows:
+            formed = isinstance(at_ms, int) and isinstance(until_ms, int) and isinstance(body, str)
+            if sidecar != self.name or not formed or at_ms > now + FUTURE_MS:
+                bad += 1
+            elif until_ms > now:
+                kept.append(Record(kind, str(key), at_ms, until_ms, body))
+        if bad:
+            log(f"{bad} {kind} records of another sidecar, from the future or of no form left out")
+        return kept
+
+    async def put(self, records: Iterable[Record]) -> None:
+        """Keep records, each where it is later than the one of its kind and id; those whose time is over go.
+        Raises StoreError."""
+        async with self._write_lock:
+            await asyncio.to_thread(self._transaction, _put_records, list(records))
+
     async def merge(self, orders: dict[str, Order]) -> dict[str, Order]:
         """Take up orders from elsewhere, each where it is later than the stored one; those taken."""
         async with self._write_lock:
@@ -185,6 +221,11 @@
             connection.execute(f"PRAGMA user_version={SCHEMA}")
     elif version != SCHEMA:
         raise StoreError(f"schema {version}, this release reads {SCHEMA}")
+    connection.execute(
+        "CREATE TABLE IF NOT EXISTS records (sidecar TEXT NOT NULL, kind TEXT NOT NULL, id TEXT NOT NULL,"
+        " at_ms INTEGER NOT NULL, until_ms INTEGER NOT NULL, body TEXT NOT NULL,"
+        " PRIMARY KEY (sidecar, kind, id))"
+    )
 
 
 def _checked(rows: list[tuple[object, ...]], name: str, now: int) -> dict[str, Order]:
@@ -224,6 +265,16 @@
     )
 
 
+def _put_records(connection: sqlite3.Connection, name: str, records: list[Record]) -> None:
+    connection.executemany(
+        "INSERT INTO records (sidecar, kind, id, at_ms, until_ms, body) VALUES (?, ?, ?, ?, ?, ?)"
+        " ON CONFLICT DO UPDATE SET at_ms = excluded.at_ms, until_ms = excluded.until_ms,"
+        " body = excluded.body WHERE excluded.at_ms >= at_ms OR at_ms > ?",
+        [(name, *record, now_ms() + FUTURE_MS) for record in records],
+    )
+    connection.execute("DELETE FROM records WHERE sidecar = ? AND until_ms < ?", (name, now_ms()))
+
+
 def _merge(connection: sqlite3.Connection, name: str, orders: dict[str, Order]) -> dict[str, Order]:
     held = dict(connection.execute("SELECT server, at_ms FROM orders WHERE sidecar = ?", (name,)).fetchall())
     later = {server: order for server, order in orders.items() if order.at_ms > held.get(server, -1)}
--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -96,6 +96,8 @@
     price_handshake: float = 0.0
     streams_per_conn: int = 1  # attempts that a connection carries at a time
     keepalive_ns: int = 60_000_000_000  # an idle connection is closed after it
+    fleet_quotas: bool = True  # tenants' quotas are kept for the fleet as a whole
+    ejection: bool = False  # endpoints that fail more than the others get nothing new for a while
 
     @classmethod
     def from_dict(cls, raw: dict[str, Any]) -> Settings:
@@ -141,6 +143,8 @@
             price_handshake=prices.number("handshake", 0.0),
             streams_per_conn=max(1, allowed.integer("streams-per-conn", 1)),
             keepalive_ns=allowed.integer("keepalive-ns", 60_000_000_000),
+            fleet_quotas=root.flag("fleet-quotas", True),
+            ejection=root.flag("ejection", False),
         )
 
 
@@ -180,8 +184,8 @@
     def text(self, key: str, default: str | None = None) -> str:
         return str(self._get(key, (str,), default))
 
-    def flag(self, key: str) -> bool:
-        return bool(self._get(key, (bool,), False))
+    def flag(self, key: str, default: bool = False) -> bool:
+        return bool(self._get(key, (bool,), default))
 
     def items(self, key: str, required: bool = False) -> list[Any]:
         return list(self._get(key, (list,), None if required else []))
@@ -243,6 +247,7 @@
     is_retry: bool = False
     is_write: bool = False
     has_long_body: bool = False  # too long to hold, so what has gone to an endpoint can't be sent again
+    dedup_key: int = 0  # not 0: the client's idempotency key, by which endpoints drop repeats
 
 
 class BodyMoved(NamedTuple):
@@ -302,7 +307,88 @@
     sightings: tuple[Sighting, ...] = ()
 
 
-Event = Union[Roster, Request, BodyMoved, FirstByte, Outcome, ClientGone, Timer, ProbeResult, PeerMessage]
+class Verdict(NamedTuple):
+    """An endpoint that a sidecar has ejected, for so much longer, and the failure that tipped it."""
+
+    endpoint: int
+    left_ns: int
+    reason: Status
+
+
+class PeerVerdicts(NamedTuple):
+    """What a peer holds ejected."""
+
+    sender: int
+    verdicts: tuple[Verdict, ...]
+
+
+class PeerRoster(NamedTuple):
+    """How endpoints of the list in use stand on a peer's list: up there, or draining or gone."""
+
+    sender: int
+    version: int
+    up: tuple[int, ...]
+    down: tuple[int, ...]
+
+
+class PeerAsked(NamedTuple):
+    """A peer that has just started asks what is ejected here, and maybe what was seen of endpoints."""
+
+    peer: int
+    sightings: bool
+
+
+class Pinned(NamedTuple):
+    """A keyed request was sent to a dedup group, which alone may see its key again for so much longer."""
+
+    key: int
+    cls: int
+    zone: int
+    cell: int
+    left_ns: int
+
+
+class TenantReport(NamedTuple):
+    """What one sidecar's tenants asked of it a while ago, in requests a second, in the settings' order."""
+
+    sidecar: int
+    age_ns: int
+    rates: tuple[float, ...]
+
+
+class TenantReports(NamedTuple):
+    """From a peer, or from the other process of an upgrade."""
+
+    reports: tuple[TenantReport, ...]
+
+
+class Beside(NamedTuple):
+    """What the tenants ask of the other process of an upgrade; void after so much longer."""
+
+    left_ns: int
+    rates: tuple[float, ...]
+
+
+class TakeReports(NamedTuple):
+    """Asks for a ShareReports action, for the other process of an upgrade, or for an operator."""
+
+
+class Recall(NamedTuple):
+    """What an earlier process of this sidecar knew, with its age."""
+
+    sightings: tuple[Sighting, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
+    pins: tuple[Pinned, ...] = ()
+
+
+class TakeSnapshot(NamedTuple):
+    """Asks for a Remember action."""
+
+
+Event = Union[
+    Roster, Request, BodyMoved, FirstByte, Outcome, ClientGone, Timer, ProbeResult, PeerMessage,
+    PeerVerdicts, PeerRoster, PeerAsked, Recall, TakeSnapshot, TenantReports, Beside, TakeReports,
+]  # fmt: skip
 
 
 # Actions ------------------------------------------------------------------------------------------
@@ -319,6 +405,7 @@
 
     request: int
     retry_after_ns: int = 0
+    over_quota: bool = False  # its tenant asks for more than its quota
 
 
 class Fail(NamedTuple):
@@ -369,6 +456,37 @@
     endpoint: int
 
 
+class TellVerdicts(NamedTuple):
+    peer: int  # -1: every peer
+    verdicts: tuple[Verdict, ...]
+
+
+class Remember(NamedTuple):
+    """What the next process of this sidecar should know: what was learned of each endpoint heard from."""
+
+    sightings: tuple[Sighting, ...]
+    verdicts: tuple[Verdict, ...]
+
+
+class TellReports(NamedTuple):
+    peer: int
+    reports: tuple[TenantReport, ...]
+
+
+class ShareReports(NamedTuple):
+    here: tuple[float, ...]  # requests a second of each tenant at this process alone
+    reports: tuple[TenantReport, ...]  # of this sidecar, and the others that are fresh
+    fleet: tuple[float, ...]  # what each tenant is taken to ask of all sidecars
+    ejected: tuple[Verdict, ...]
+
+
+class Pin(NamedTuple):
+    """To be kept for the next process, and the other one of an upgrade."""
+
+    pinned: Pinned
+
+
 Action = Union[
-    Send, Refuse, Fail, Cancel, SetTimer, Log, Fault, Fetch, Watch, CloseIdle, Tell, Probe
-]
+    Send, Refuse, Fail, Cancel, SetTimer, Log, Fault, Fetch, Watch, CloseIdle, Tell, Probe,
+    TellVerdicts, Remember, Pin, TellReports, ShareReports,
+]  # fmt: skip
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -13,7 +13,12 @@
 from typing import Any
 
 from shuntlead import interface as api
+from shuntlead.gossip import most_reports
+from shuntlead.hearsay import Hearsay
 from shuntlead.interface import NEVER_RAN, Effect, EndpointState, RosterForm, Status
+from shuntlead.quotas import TELL_NS, Quotas
+from shuntlead.rate import Rate
+from shuntlead.verdicts import Verdicts
 
 ALPHA = 0.3  # weight of a new response time: the paper finds one sample enough, so a short memory
 FAIL_ALPHA = 0.6  # the same of a failure: rarer than answers, and worth more
@@ -41,27 +46,16 @@
 COME_BACK = 0.25, 0.75  # a refused client does so within these parts of the time that its retry has to spare
 HOLD_SHARE = 0.4  # of a request's time: refused then, its client still has the time for a retry
 HOLD_TRIES = 20  # a request with no eligible endpoint looks again this often within its target
+SUSPECT = 4.0  # usual response times that a server is taken to need by one peer's verdict
+VERDICT_REPEATS, VERDICT_REPEAT_NS = 5, 90_000_000  # a verdict is told so often, as datagrams get lost
+VERDICT_AGAIN_NS = 1_000_000_000  # and then while it stands
 MAX_TIMER_NS = 3_600_000_000_000  # an hour: longer waits are never meant, and the wire bounds them
 
 
-class Rate:  # amounts per ns, with a memory that halves each half_ns
-    __slots__ = ("at", "half_ns", "value")
-
-    def __init__(self, half_ns: int) -> None:
-        self.half_ns, self.value, self.at = max(half_ns, 1), 0.0, 0
-
-    def read(self, now: int) -> float:
-        if now != self.at:
-            self.value, self.at = self.value * exp2((self.at - now) / self.half_ns), now
-        return self.value
-
-    def add(self, now: int, amount: float = 1.0) -> None:
-        self.value = self.read(now) + amount * 0.693 / self.half_ns  # ln 2: a steady rate reads as itself
-
-
 class Endpoint:
     __slots__ = ("row", "id", "zone", "weight", "ready", "out", "passing", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp", "answered", "held", "held_at")  # fmt: skip
+                 "queue", "queue_at", "since", "cold_from", "warm_at", "ramp", "answered", "held",
+                 "held_at", "ejected")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
@@ -72,8 +66,10 @@
         self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
         self.held = self.held_at = 0  # connections as far as is known, and when one was last of use
         self.answered = 0  # when the latest sent of the attempts that it has answered was sent
+        self.cold_from = row.started_ns  # when its ramp began: its start, or its return from an ejection
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
+        self.ejected = False
         self.update(row)
 
     def update(self, row: api.Listed) -> None:
@@ -128,10 +124,18 @@
             api.Request: self._on_request, api.Outcome: self._on_outcome, api.Roster: self._on_roster,
             api.Timer: self._on_timer, api.ClientGone: self._on_client, api.FirstByte: self._on_first_byte,
             api.BodyMoved: self._on_body, api.PeerMessage: self._on_peer,
-            api.ProbeResult: self._on_report}  # fmt: skip
+            api.ProbeResult: self._on_report, api.PeerVerdicts: self._on_peer_verdicts,
+            api.PeerRoster: self._on_peer_roster, api.PeerAsked: self._on_peer_asked,
+            api.Recall: self._on_recall, api.TakeSnapshot: self._on_take_snapshot,
+            api.TenantReports: self._on_tenant_reports, api.Beside: self._on_beside,
+            api.TakeReports: self._on_take_reports}  # fmt: skip
         self.logged: dict[str, int] = {}  # topic -> when it may be logged again
         self.endpoints: dict[int, Endpoint] = {}
         self.ready: list[Endpoint] = []  # those of the endpoints that may be sent to
+        self.version, self.settle_at = 0, 0  # of the list in use; when next an endpoint may be back by itself
+        self.hearsay, self.verdicts = Hearsay(settings.fleet_size), Verdicts(settings.fleet_size)
+        # By dedup key: zone, cell, until when, and the request that went there first; the oldest first.
+        self.pins: dict[int, tuple[int, int, int, int]] = {}
         self.pending: dict[int, Pending] = {}
         self.turns: dict[int, list[Pending]] = {}  # by key, in the order taken
         self.rests: dict[int, int] = {}  # key -> until when, the first to end first
@@ -146,6 +150,7 @@
         self.usual_left = [(0, 0)] * len(classes)
         self.class_ns = [c.target_ns / 4 for c in classes]  # usual response time, learned
         self.class_seen, self.hint_mean = [0] * len(classes), [0.0] * len(classes)
+        self.quotas, self.telling_at = Quotas(settings), 0  # when verdicts are to be told next
         self.tenant_rates = [Rate(self.forget_ns) for _ in settings.tenants]
         self.asked = Rate(4 * self.forget_ns)  # a small sidecar's rate over less is mere chance
         self.usual_share = self.idle = 0.0  # share of the target that answers take, and its least
@@ -176,27 +181,172 @@
             self._log("discovery", f"a call failed, {len(self.ready)} endpoints of the last list in use")
             self._set_timer("ask", int(self.settings.ask_within_ns * self.random.uniform(0.1, 0.4)))
             return
+        self.version = roster.version
+        if roster.form is not RosterForm.CACHED:
+            self.hearsay.end()
         if roster.form is not RosterForm.DELTA:
             listed = {row.endpoint for row in roster.entries}
             self.endpoints = {n: e for n, e in self.endpoints.items() if n in listed}
+            self.verdicts.keep(listed)
         for row in roster.entries:
             known = self.endpoints.pop(row.endpoint, None)
+            same = known if known and known.row.started_ns == row.started_ns else None
+            if same is None:  # the same id with a new start is a new process: what was learned is void
+                self.verdicts.reset(row.endpoint)
             if row.state != EndpointState.GONE:
-                # The same id with a new start is a new process: cold, and what was learned is void.
-                same = known if known and known.row.started_ns == row.started_ns else None
                 self.endpoints[row.endpoint] = same or Endpoint(row, self.settings)
                 self.endpoints[row.endpoint].update(row)
-        self.ready = [e for e in self.endpoints.values() if e.ready]
-        # Danger: hundreds of sidecars with a connection to every endpoint fill its table. Each has an order.
-        self.ready.sort(key=lambda e: _mix(self.salt, e.id))
-        self.mean_weight = sum(e.weight for e in self.ready) / max(1, len(self.ready)) or 1.0
+        self._settle_ready()
         if not self.started:
             self.started = self.now
             if self.settings.discovery == "ask":
                 self.actions.append(api.Watch(True))
+            if self.settings.fleet_quotas and self.settings.may_message and self.settings.fleet_size > 1:
+                self._set_timer("quotas", int(self.random.uniform(0, TELL_NS)))
             if self.settings.report_how == "pull" and self.settings.may_probe:
                 self._set_timer("probe", self.forget_ns // 10)
 
+    def _settle_ready(self) -> None:
+        """Which endpoints may be sent to, by the list, by what peers said of it, and by the verdicts."""
+        up = [e for e in self.endpoints.values() if e.ready]
+        unheard = self.hearsay.held_out(self.now, (e.id for e in up))
+        self.ready = [e for e in up if e.id not in unheard and not self._is_ejected(e)]
+        # Danger: hundreds of sidecars with a connection to every endpoint fill its table. Each has an order.
+        self.ready.sort(key=lambda e: _mix(self.salt, e.id))
+        self.mean_weight = sum(e.weight for e in self.ready) / max(1, len(self.ready)) or 1.0
+        ends = (self.hearsay.ends_at(), self.verdicts.next_return(self.now))
+        self.settle_at = min((at for at in ends if at), default=0)
+
+    def _is_ejected(self, e: Endpoint) -> bool:
+        """Danger: one that all sidecars shunned may have restarted unseen. It comes back cold."""
+        was, e.ejected = e.ejected, self.verdicts.is_out(self.now, e.id)
+        if was and not e.ejected:
+            e.cold_from, e.warm_at = self.now, self.now + self.settings.cold_ns
+            e.slow_at, e.by_class = 0, {}
+        return e.ejected
+
+    # Tenants' quotas, for the fleet as a whole ---------------------------------------------------------
+
+    def _tell_reports(self) -> None:
+        self._set_timer("quotas", TELL_NS)
+        if self.quotas.is_near(self.now):
+            peer = (self.settings.self_index + self.random.randrange(1, self.settings.fleet_size))
+            most = most_reports(len(self.settings.tenants))
+            reports = self.quotas.reports(self.now, most)
+            self.actions.append(api.TellReports(peer % self.settings.fleet_size, reports))
+
+    def _on_tenant_reports(self, event: api.TenantReports) -> None:
+        self.quotas.hear(self.now, event.reports)
+
+    def _on_beside(self, event: api.Beside) -> None:
+        self.quotas.hear_beside(self.now + event.left_ns, event.rates)
+
+    def _on_take_reports(self, event: api.TakeReports) -> None:
+        reports = self.quotas.reports(self.now, self.settings.fleet_size)
+        here, fleet = self.quotas.here(self.now), tuple(self.quotas.fleet(self.now))
+        self.actions.append(api.ShareReports(here, reports, fleet, self.verdicts.standing(self.now)))
+
+    def _is_over_quota(self, req: Pending) -> bool:
+        """Whether this is beyond its tenant's quota. Refused only where servers are strained:
+        else it takes nothing from those within theirs."""
+        if not self.settings.fleet_quotas or req.attempts or self._can_spare(0.0):
+            return False
+        part = self.quotas.part(self.now, req.event.tenant)
+        if self.quotas.admit(self.now, req.event.tenant):
+            return False
+        self._log("quota", f"tenant {req.event.tenant} asks for {1 / part:.1f} of its quota, fleet-wide")
+        return True
+
+    def _can_spare(self, share: float) -> bool:
+        """Whether the endpoints could serve what is asked with this share of them fewer: by their reports, or
+        where they report no cores, by the waits."""
+        reported = "util" in self.settings.report_columns
+        used = self.busy if reported else SPARE * self._strain() / self.calm
+        return used < SPARE * (1 - share)
+
+    # Ejection, and what outlives a process -----------------------------------------------------------
+
+    def _eject(self, endpoint: int, reason: Status, left_ns: int, by: str, own: bool = True) -> None:
+        """Nothing new there for a while, unless too many are out; then it is back, cold. Danger: without one
+        that fails now and then the others may fall behind, and lose more than it does."""
+        e = self.endpoints.get(endpoint)
+        up = sum(e.ready for e in self.endpoints.values())
+        if e is None or not e.ready or not self.verdicts.room(self.now, up):
+            return
+        if not self._can_spare((self.verdicts.count(self.now) + 1) / up):
+            return
+        until = self.verdicts.eject(self.now, endpoint, reason, left_ns, own)
+        self._log("ejected", f"endpoint {endpoint} for {(until - self.now) / 1e9:.1f} s, {reason.name} {by}; "
+                             f"{self.verdicts.count(self.now)} of {up} out")  # fmt: skip
+        self._settle_ready()
+        self._remember()
+
+    def _tell_verdicts(self, quickly: int) -> None:
+        """To all, some times in a row, as datagrams get lost; then now and then while a verdict stands, for
+        those that were cut off."""
+        rows = self.verdicts.own(self.now)
+        if not self.settings.may_message or not rows:
+            self.telling_at = 0
+            return
+        self.actions.append(api.TellVerdicts(-1, rows))
+        self.telling_at = self.now + (VERDICT_REPEAT_NS if quickly > 1 else VERDICT_AGAIN_NS)
+        self._set_timer("verdicts", self.telling_at - self.now, left=max(0, quickly - 1))
+
+    def _on_peer_verdicts(self, event: api.PeerVerdicts) -> None:
+        for verdict in event.verdicts:
+            e = self.endpoints.get(verdict.endpoint)
+            if e is None or not self.settings.ejection:
+                continue
+            # Fewer odds by one peer's word. A peer that says it of all changes nothing between them.
+            e.slow, e.slow_at = max(self._slowdown(e), SUSPECT), self.now
+            if self.verdicts.hear(self.now, event.sender, verdict):
+                left = self.verdicts.quorum_ns(self.now, verdict.endpoint)
+                by = f"by {self.verdicts.quorum} peers"
+                self._eject(verdict.endpoint, verdict.reason, left, by, own=False)
+
+    def _on_peer_roster(self, event: api.PeerRoster) -> None:
+        if self.hearsay.hear(self.now, event, self.version):
+            before = len(self.ready)
+            self._settle_ready()
+            if len(self.ready) != before:
+                self._log("hearsay", f"{len(self.ready)} endpoints left in use, as peers' later lists say")
+
+    def _on_peer_asked(self, event: api.PeerAsked) -> None:
+        if event.sightings:
+            self._tell_sightings(event.peer)
+        if verdicts := self.verdicts.own(self.now):
+            self.actions.append(api.TellVerdicts(event.peer, verdicts))
+
+    def _on_recall(self, event: api.Recall) -> None:
+        self._see(event.sightings)
+        for verdict in event.verdicts if self.settings.ejection else ():
+            self._eject(verdict.endpoint, verdict.reason, verdict.left_ns, "before the restart")
+        for pin in event.pins:
+            known = self.settings.classes[pin.cls : pin.cls + 1]  # else it has other classes now
+            window = known[0].dedup_window_ns if known else 0
+            self.pins[pin.key] = (pin.zone, pin.cell, self.now + min(pin.left_ns, window), 0)
+
+    def _on_take_snapshot(self, event: api.TakeSnapshot) -> None:
+        self._remember()
+
+    def _remember(self) -> None:
+        heard = tuple(self._sighting(e) for e in self.endpoints.values() if e.slow_at > 0)
+        self.actions.append(api.Remember(heard, self.verdicts.own(self.now)))
+
+    def _pin(self, req: Pending, endpoint: Endpoint) -> None:
+        """Danger: a client whose sidecar was killed asks the next process with the same key, and outside the
+        first attempt's group it would have a second effect."""
+        cls, key = req.cls, req.event.dedup_key
+        if not key or cls.effect is not Effect.BY_KEY or cls.dedup_scope == "all":
+            return
+        if key in self.pins and self.pins[key][2] > self.now:
+            return
+        while self.pins and next(iter(self.pins.values()))[2] <= self.now:
+            del self.pins[next(iter(self.pins))]
+        left, row = cls.dedup_window_ns, endpoint.row
+        self.pins[key] = (row.zone, row.cell, self.now + left, req.id)
+        self.actions.append(api.Pin(api.Pinned(key, req.event.cls, row.zone, row.cell, left)))
+
     def _on_report(self, event: api.Outcome | api.ProbeResult) -> None:
         e, load = self.endpoints.get(event.endpoint), event.load
         if e and self.util_column < len(load) and 0 <= load[self.util_column] <= 2:
@@ -222,20 +372,29 @@
             return
         self.told_at = self.now
         peers = [(s.self_index + self.random.randrange(1, s.fleet_size)) % s.fleet_size for _ in range(PEERS)]
-        fresh = nlargest(api.MAX_SIGHTINGS, self.ready, key=lambda e: e.slow_at)
-        seen = [api.Sighting(e.id, e.slow, e.queue, self.now - e.slow_at) for e in fresh if e.slow_at]
-        self.actions.append(api.Tell(peers[0], self._strain(), tuple(seen)))
+        self._tell_sightings(peers[0])
         self.actions.extend(api.Tell(peer, self._strain()) for peer in peers[1:])  # a byte each
 
     def _on_peer(self, message: api.PeerMessage) -> None:
         """What a peer saw later than this sidecar takes the place of what it knew."""
         if message.strain >= 0:  # else it was no message that we can read
             self._strain(min(1.0, message.strain), 0.5)
-        for seen in message.sightings:
+        self._see(message.sightings)
+
+    def _sighting(self, e: Endpoint) -> api.Sighting:
+        return api.Sighting(e.id, e.slow, e.queue, self.now - e.slow_at)
+
+    def _tell_sightings(self, peer: int) -> None:
+        fresh = nlargest(api.MAX_SIGHTINGS, self.ready, key=lambda e: e.slow_at)
+        seen = tuple(self._sighting(e) for e in fresh if e.slow_at)
+        self.actions.append(api.Tell(peer, self._strain(), seen))
+
+    def _see(self, sightings: tuple[api.Sighting, ...]) -> None:
+        for seen in sightings:
             e, at = self.endpoints.get(seen.endpoint), self.now - max(0, seen.age_ns)
-            if e and at > max(e.slow_at, e.row.started_ns) and 0 < seen.slow < 1e9:
+            if e and at > max(e.slow_at, e.cold_from) and 0 < seen.slow < 1e9:
                 self._learn(e, min(seen.slow, MAX_SLOWDOWN), at)
-            if e and at > max(e.queue_at, e.row.started_ns) and 0 <= seen.queue < 1e9:
+            if e and at > max(e.queue_at, e.cold_from) and 0 <= seen.queue < 1e9:
                 e.queue, e.queue_at, e.since = seen.queue, at, 0
 
     def _draw(self, req: Pending, candidates: list[Endpoint], usual: float) -> Endpoint | None:
@@ -249,7 +408,7 @@
         for e in candidates:
             w = (self._load(e) + 1) * self._slowdown(e, req.event.cls)
             if self.now < e.warm_at:  # the slowest ramp that is guaranteed
-                age = max(0, self.now - e.row.started_ns)
+                age = max(0, self.now - e.cold_from)
                 e.ramp = s.start_capacity + (1 - s.start_capacity) * age / s.cold_ns
                 if not e.slow_at:  # else its answers tell how much slower it is
                     w /= e.ramp
@@ -295,6 +454,8 @@
         return self.kind_slow.get((e.row.kind, e.zone)) or self.mean_weight / e.weight
 
     def _eligible(self, req: Pending) -> list[Endpoint]:
+        if 0 < self.settle_at <= self.now:
+            self._settle_ready()
         # The first of this sidecar's own order: as many as it sends to within a longest target. Danger: with
         # more it opens connections to all, and each server's table fills with those of all sidecars.
         ready = self.ready[: FEWEST + int(self.asked.read(self.now) * self.longest_ns)]
@@ -310,6 +471,12 @@
                 ready = [e for e in ready if e.zone == first.zone]
             elif req.cls.dedup_scope != "all":
                 ready = [e for e in ready if e.row.cell == first.cell]
+        elif req.event.dedup_key in self.pins and not risky:
+            zone, cell, until, _ = self.pins[req.event.dedup_key]
+            if until > self.now and req.cls.dedup_scope == "zone":
+                ready = [e for e in self.ready if e.zone == zone]
+            elif until > self.now and req.cls.dedup_scope == "cell":
+                ready = [e for e in self.ready if e.row.cell == cell]
         tried = {a.endpoint.id for a in req.attempts}
         return ([e for e in ready if e.id not in tried] or ready) if tried else ready
 
@@ -341,6 +508,7 @@
         self.asked.add(self.now)
         if event.tenant < len(self.tenant_rates):
             self.tenant_rates[event.tenant].add(self.now)
+            self.quotas.take(self.now, event.tenant)
         self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
         if req.key:
             self.turns.setdefault(req.key, []).append(req)
@@ -370,7 +538,9 @@
         ahead = self.turns[req.key].index(req) if req.key else 0
         rest = max(0, self.rests.get(req.key, 0) - self.now) if req.key and not req.attempts else 0
         left = req.limit - self.now - int(ahead * usual) - rest
-        if left <= 0 or not req.attempts and self._too_busy(req):
+        if self._is_over_quota(req):
+            self._end(req, over_quota=True)
+        elif left <= 0 or not req.attempts and self._too_busy(req):
             self._end(req)
         elif ahead or rest:
             self._set_timer("hold", left if ahead else rest, req)
@@ -430,6 +600,7 @@
         if len(endpoint.out) > endpoint.held * self.settings.streams_per_conn:
             endpoint.held, endpoint.held_at = endpoint.held + 1, self.now
         self.offered.add(self.now, usual)
+        self._pin(req, endpoint)
 
     def _patience(self, req: Pending, usual: float) -> int:
         """How long an attempt may take before another is made; 0: as long as there is. Danger: at a silent
@@ -448,11 +619,12 @@
         self.retry_tokens -= 1
         return True
 
-    def _end(self, req: Pending) -> None:
+    def _end(self, req: Pending, over_quota: bool = False) -> None:
         """The one final answer: a refusal where a retry is sure to be harmless, else a failure."""
         harmless = (not req.risky() or req.cls.effect is Effect.REPEATABLE
                     or req.cls.effect is Effect.BY_KEY and req.cls.dedup_scope == "all")  # fmt: skip
-        self.actions.append(api.Refuse(req.id, self._retry_after(req)) if harmless else api.Fail(req.id))
+        refusal = api.Refuse(req.id, self._retry_after(req), over_quota)
+        self.actions.append(refusal if harmless else api.Fail(req.id))
         self._finish(req)
 
     def _retry_after(self, req: Pending) -> int:
@@ -523,6 +695,8 @@
         if req is None or attempt is None or not attempt.open:
             return
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
+        if not req.risky() and self.pins.get(req.event.dedup_key, (0, 0, 0, 0))[3] == req.id:
+            del self.pins[req.event.dedup_key]  # it never ran, so it may go anywhere
         e = attempt.endpoint
         e.out.pop((req.id, event.attempt), None)
         self._set_passing(req, attempt, False)
@@ -533,6 +707,9 @@
         if req.key and event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED):
             self._rest(req.key)
         self._on_report(event)
+        if self.settings.ejection and self.verdicts.observe(self.now, e.id, event.status):
+            self._eject(e.id, event.status, 0, "here")
+            self._tell_verdicts(VERDICT_REPEATS)
         if event.status is Status.OK and not attempt.begun:
             self._learn_answer(req, attempt, event)
         elif event.status not in (Status.OK, Status.MOOT):
@@ -603,15 +780,19 @@
             self.logged[topic] = self.now + self.forget_ns
             self.actions.append(api.Log(f"{topic}: {text}"))
 
-    def _set_timer(self, what: str, delay: int, req: Pending | None = None) -> None:
+    def _set_timer(self, what: str, delay: int, req: Pending | None = None, left: int = 0) -> None:
         self.next_token = (self.next_token + 1) % 2**32
-        self.timers[self.next_token] = (what, req.id if req else 0)
+        self.timers[self.next_token] = (what, req.id if req else left)
         self.actions.append(api.SetTimer(max(0, min(delay, MAX_TIMER_NS)), self.next_token))
 
     def _on_timer(self, event: api.Timer) -> None:
         what, request = self.timers.pop(event.token, ("", 0))
         if what == "ask":
             self.actions.append(api.Watch(True))
+        elif what == "quotas":
+            self._tell_reports()
+        elif what == "verdicts" and self.now >= self.telling_at > 0:  # else others are under way
+            self._tell_verdicts(request)
         elif what == "probe":
             self.actions.extend(api.Probe(e.id) for e in sorted(self.ready, key=lambda e: e.queue_at)[:1])
             self._set_timer("probe", self.forget_ns // 10)
--- /dev/null
+++ b/shuntlead/rate.py
@@ -0,0 +1,20 @@
+"""How much comes a second, of late."""
+
+from __future__ import annotations
+
+from math import exp2
+
+
+class Rate:  # amounts per ns, with a memory that halves each half_ns
+    __slots__ = ("at", "half_ns", "value")
+
+    def __init__(self, half_ns: int) -> None:
+        self.half_ns, self.value, self.at = max(half_ns, 1), 0.0, 0
+
+    def read(self, now: int) -> float:
+        if now != self.at:
+            self.value, self.at = self.value * exp2((self.at - now) / self.half_ns), now
+        return self.value
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        self.value = self.read(now) + amount * 0.693 / self.half_ns  # ln 2: a steady rate reads as itself
--- a/shuntlead/wire.py
+++ b/shuntlead/wire.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, Union
 
 from shuntlead import interface as api
-from shuntlead.gossip import decode_peer, encode_peer
+from shuntlead.gossip import decode_peer, decode_reports, encode_peer, encode_reports
 
 BATCH_HEADER = struct.Struct("<IIQ")
 CLOCK_BYTES = 8  # the clock follows the length field and is counted by it
@@ -171,6 +171,8 @@
 def _read_from_peer(body: bytes, at: int) -> _Read:
     instance, sender, size = _FROM_PEER.unpack_from(body, at)
     data, end = _take(body, at + _FROM_PEER.size, size)
+    if (reports := decode_reports(data, 0)) is not None:
+        return instance, api.TenantReports(reports), end
     return instance, decode_peer(sender, data) or api.PeerMessage(sender), end
 
 
@@ -206,7 +208,7 @@
 
 
 def encode_action(instance: int, action: api.Action) -> bytes:
-    """One action as a reply record."""
+    """One action as a reply record; none for those that only a real sidecar has."""
     match action:
         case api.Send(request, endpoint, timeout):
             return _RELAY.pack(1090, instance, request, endpoint, timeout)
@@ -234,8 +236,14 @@
             return _SIGNAL.pack(1100, instance, target, len(data)) + data
         case api.Probe(endpoint):
             return _CLOSE.pack(1110, instance, endpoint)
+        case api.TellReports(peer, reports):
+            data = encode_reports(reports, 0)
+            return _SIGNAL.pack(1100, instance, peer, len(data)) + data
+        case api.TellVerdicts() | api.Remember() | api.Pin() | api.ShareReports():
+            return b""
 
 
 def encode_reply(actions: list[tuple[int, api.Action]]) -> bytes:
-    body = b"".join([encode_action(instance, action) for instance, action in actions])
-    return REPLY_HEADER.pack(len(actions), len(body)) + body
+    records = [record for instance, action in actions if (record := encode_action(instance, action))]
+    body = b"".join(records)
+    return REPLY_HEADER.pack(len(records), len(body)) + body
--- /dev/null
+++ b/tests/test_warm.py
@@ -0,0 +1,189 @@
+"""Warm start, with real sidecar processes and faults between them: what a restart takes from its peers, and
+what it must not take."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+from contextlib import AsyncExitStack, suppress
+from pathlib import Path
+
+import pytest
+
+from anisespool.config import Address
+from anisespool.fleet.shared import verdicts_datagrams
+from anisespool.peers import shared_id
+from anisespool.state import warm
+from anisespool.state.memory import PIN_S
+from shuntlead.interface import Status, Verdict
+from tests.fleet import Fleet, fleet
+from tests.net import (
+    OK,
+    Endpoint,
+    TellingDiscovery,
+    limited,
+    member,
+    member_list,
+    reset,
+    until,
+)
+from tests.support import SECOND, raw_settings
+
+NOWHERE = Address("127.0.0.1", 9)
+LONG_WINDOW = [dict(row, **{"dedup-window-ns": 30 * SECOND}) for row in raw_settings()["request-classes"]]
+SERVED = 30
+
+
+def traces(endpoint: Endpoint) -> set[bytes]:
+    return {request.headers[b"x-trace-id"] for request in endpoint.requests}
+
+
+@limited
+@pytest.mark.parametrize(("loss", "silent"), [(0.0, ()), (0.3, ()), (0.0, (1, 2, 3))])
+async def test_a_restart_with_nothing_left_sends_nothing_to_what_its_peers_know_is_not_up(
+    tmp_path: Path, loss: float, silent: tuple[int, ...]
+) -> None:
+    """Discovery is down for it, its disk is lost, and its old list has as up what drains and what is gone.
+    With all peers that have a list stopped, it starts on the old list, within the bound."""
+    drains, gone, stays = Endpoint(OK), Endpoint(OK), Endpoint(OK)
+    async with drains.serve(), gone.serve(), stays.serve(), fleet(tmp_path, 6) as it:
+        rows = [member("s-0", drains.address), member("s-1", gone.address), member("s-2", stays.address),
+                *(member(f"s-{n}", stays.address) for n in range(3, 6))]  # fmt: skip
+        later = member_list(3, [member("s-0", drains.address, "draining"), *rows[2:]])
+        async with TellingDiscovery(later).serve() as discovery:
+            for n in (1, 2, 3):
+                await it.start(n, discovery.address, rows)
+            await until(lambda: len(discovery.targets) == 3)
+            it.relay.loss, it.relay.duplicate, it.relay.delay_s = loss, 0.3, 0.02
+            for n in silent:
+                it.processes[n].send_signal(signal.SIGSTOP)
+            began = asyncio.get_running_loop().time()
+            await it.start(0, NOWHERE, rows)
+            assert asyncio.get_running_loop().time() - began < 3.0
+            for n in range(SERVED):
+                await it.request(0, f"r{n}")
+        reached = traces(drains) | traces(gone)
+        print(f"loss {loss}, silent {silent}: {len(reached)} of {SERVED} to servers not up")
+        assert bool(reached) == bool(silent)
+        assert len(reached | traces(stays)) == SERVED
+
+
+@limited
+async def test_a_lying_peer_takes_nothing_out_of_use_and_a_stale_list_says_nothing(tmp_path: Path) -> None:
+    """Peer 1 claims that nothing is up, under revisions to come, and that all is ejected, with garbage on
+    top; peers 2 and 3 answer with a list older than the one in use."""
+    servers = [Endpoint(OK) for _ in range(4)]
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+    async with AsyncExitStack() as stack:
+        it = await stack.enter_async_context(fleet(tmp_path, 4))
+        for server in servers:
+            await stack.enter_async_context(server.serve())
+        rows = [member(f"s-{n}", server.address) for n, server in enumerate(servers)]
+        ids = [shared_id(row["id"]) for row in rows]
+        loop = asyncio.get_running_loop()
+        lies = verdicts_datagrams([Verdict(n, 10**10, Status.RESET) for n in ids])
+        asked = []
+
+        async def answer(n: int, sock: socket.socket) -> None:
+            while True:
+                data = await loop.sock_recv(sock, 4096)
+                if data[:1] != warm.ASK:
+                    continue
+                asked.append(n)
+                nonce = int.from_bytes(data[1:5], "little")
+                lie = [*warm.parts(nonce, 10**6, []), *lies, b"\x03", b"\x04xy", os.urandom(257), b"\x09"]
+                for each in lie if n == 1 else warm.parts(nonce, 4, []):
+                    it.relay.deliver(n, 0, each)
+
+        answering = []
+        for n, sock in enumerate(sockets, 1):
+            sock.setblocking(False)
+            sock.bind(it.relay.listen[n])
+            answering.append(asyncio.create_task(answer(n, sock)))
+        await it.start(0, NOWHERE, rows, revision=5, ejection=True)
+        for n in range(SERVED):
+            assert await it.request(0, f"r{n}") == 200
+        assert set(asked) == {1, 2, 3}
+        assert all(traces(server) for server in servers)
+        assert "hearsay" not in it.log(0) and "ejected" not in it.log(0)
+        assert it.log(0).count("peers: ") == 1  # of all that was dropped, one line
+        for task in answering:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+        for sock in sockets:
+            sock.close()
+
+
+@limited
+async def test_an_ejected_server_stays_so_over_a_kill_and_at_a_peer_that_starts(tmp_path: Path) -> None:
+    async def breaks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        reset(writer)
+
+    bad, good = Endpoint(breaks), Endpoint(OK)
+    async with bad.serve(), good.serve(), fleet(tmp_path, 3) as it:
+        rows = [member("s-0", bad.address), *(member(f"s-{n}", good.address) for n in range(1, 5))]
+        async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+            it.relay.cut = lambda x, y: True  # or what one has seen spares the other the failures
+            for n in (0, 1):
+                await it.start(n, discovery.address, rows, ejection=True)
+                for k in range(20):  # bursts: one after another, a few failures already shun it
+                    if "ejected: endpoint 1" in it.log(n):
+                        break
+                    await asyncio.gather(*(it.request(n, f"e{n}-{k}-{m}") for m in range(20)))
+                assert "ejected: endpoint 1" in it.log(n)
+            before = len(bad.requests)
+            it.relay.cut = lambda x, y: False
+            await asyncio.sleep(5 * PIN_S)
+            await it.kill(0)
+            await it.start(0, discovery.address, rows, ejection=True)
+            assert "RESET before the restart" in it.log(0)
+            await it.start(2, discovery.address, rows, ejection=True)
+            assert "RESET by 2 peers" in it.log(2)
+            for n in (0, 2):
+                for k in range(10):
+                    assert await it.request(n, f"a{n}-{k}") == 200
+            assert len(bad.requests) == before
+
+
+@pytest.mark.parametrize("upgrade", [False, True])
+@limited
+async def test_a_key_goes_to_the_zone_that_may_have_run_it_after_a_kill_or_in_an_upgrade(
+    tmp_path: Path, upgrade: bool
+) -> None:
+    """Class `keyed` drops repeats within a zone. The first process dies with the request under way, or the
+    client's next try comes to the other process of an upgrade."""
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(30)
+
+    # One process that asks silent servers again and again would soon refuse.
+    east, west = (Endpoint(OK if upgrade else silent) for _ in range(2))
+
+    async def ask(it: Fleet, process: int, trace: str, key: str) -> asyncio.Task[int]:
+        headers = f"Idempotency-Key: {key}\r\n"
+        asking = asyncio.create_task(it.request(process, trace, cls="keyed", headers=headers))
+        await until(lambda: trace.encode() in traces(east) | traces(west))
+        await asyncio.sleep(10 * PIN_S)
+        return asking
+
+    async with east.serve(), west.serve(), fleet(tmp_path, 1) as it:
+        rows = [member("s-0", east.address), member("s-1", west.address, locality="west")]
+        async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+            asking = []
+            await it.start(0, discovery.address, rows, request_classes=LONG_WINDOW)
+            if upgrade:
+                await it.start(9, discovery.address, rows, beside=0, request_classes=LONG_WINDOW)
+            for n in range(8):
+                asking.append(await ask(it, 0, f"a{n}", f"k{n}"))
+                if not upgrade:
+                    await it.kill(0)
+                    await it.start(0, discovery.address, rows, request_classes=LONG_WINDOW)
+                asking.append(await ask(it, 9 if upgrade else 0, f"b{n}", f"k{n}"))
+                reached = [side for side in (east, west)
+                           if {b"a%d" % n, b"b%d" % n} & traces(side)]  # fmt: skip
+                assert len(reached) == 1, n
+            for process in list(it.processes):
+                await it.kill(process)
+            await asyncio.gather(*asking, return_exceptions=True)
