Let fleet-wide quotas loosen by what servers bear, and keep them off by default

Under strain the flood was cut to the quota at once, and let in whole as soon as the reports showed free cores: each swing filled the servers' queues (shuntlead/logic.py _is_over_quota, all or nothing by busy >= SPARE). Change: what is admitted over the quota shrinks by 10 % and grows by 1 % each 50 ms, by strain. Way not taken: a longer memory of strain with the same switch; it only swings slower.

--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -96,7 +96,7 @@
     price_handshake: float = 0.0
     streams_per_conn: int = 1  # attempts that a connection carries at a time
     keepalive_ns: int = 60_000_000_000  # an idle connection is closed after it
-    fleet_quotas: bool = True  # tenants' quotas are kept for the fleet as a whole
+    fleet_quotas: bool = False  # tenants' quotas are kept for the fleet as a whole
     ejection: bool = False  # endpoints that fail more than the others get nothing new for a while
 
     @classmethod
@@ -143,8 +143,8 @@
             price_handshake=prices.number("handshake", 0.0),
             streams_per_conn=max(1, allowed.integer("streams-per-conn", 1)),
             keepalive_ns=allowed.integer("keepalive-ns", 60_000_000_000),
-            fleet_quotas=root.flag("fleet-quotas", True),
-            ejection=root.flag("ejection", False),
+            fleet_quotas=root.flag("fleet-quotas"),
+            ejection=root.flag("ejection"),
         )
 
 
@@ -184,8 +184,8 @@
     def text(self, key: str, default: str | None = None) -> str:
         return str(self._get(key, (str,), default))
 
-    def flag(self, key: str, default: bool = False) -> bool:
-        return bool(self._get(key, (bool,), default))
+    def flag(self, key: str) -> bool:
+        return bool(self._get(key, (bool,), False))
 
     def items(self, key: str, required: bool = False) -> list[Any]:
         return list(self._get(key, (list,), None if required else []))
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -249,12 +249,13 @@
     def _is_over_quota(self, req: Pending) -> bool:
         """Whether this is beyond its tenant's quota. Refused only where servers are strained:
         else it takes nothing from those within theirs."""
-        if not self.settings.fleet_quotas or req.attempts or self._can_spare(0.0):
+        tenant = req.event.tenant
+        if not self.settings.fleet_quotas or req.attempts:
             return False
-        part = self.quotas.part(self.now, req.event.tenant)
-        if self.quotas.admit(self.now, req.event.tenant):
+        if self.quotas.admit(self.now, tenant, not self._can_spare(0.0)):
             return False
-        self._log("quota", f"tenant {req.event.tenant} asks for {1 / part:.1f} of its quota, fleet-wide")
+        times = self.quotas.fleet(self.now)[tenant] / self.quotas.quotas[tenant]
+        self._log("quota", f"tenant {tenant} asks for {times:.1f} of its quota, fleet-wide")
         return True
 
     def _can_spare(self, share: float) -> bool:
--- a/shuntlead/quotas.py
+++ b/shuntlead/quotas.py
@@ -21,6 +21,7 @@
 TELL_NS = 200_000_000  # between two reports, each to one peer: 5 datagrams a second
 NEAR = 0.7  # part of a quota from which on reports are sent: far below it there is nothing to share
 PARTS_NS = 50_000_000  # a request does not wait for the sum over a large fleet
+TIGHTEN, LOOSEN = 0.9, 1.01  # of what is admitted over the quotas, each PARTS_NS: under strain, and else
 LEAST_PART = 0.1  # admitted of a tenant however far over: an estimate may be wrong
 FEW, FEW_PART = 0.25, 0.5  # with reports of fewer of the others it may be far off, and more is admitted
 
@@ -31,6 +32,7 @@
         self.quotas = [tenant.quota_per_s for tenant in settings.tenants]
         self._asked = [Rate(HALF_NS) for _ in self.quotas]
         self._beside: tuple[int, tuple[float, ...]] = (0, ())  # of an upgrade's other process, until when
+        self._slack = 1e9  # over the quotas, as far as the servers bear it
         self._credit = [0.0] * len(self.quotas)  # admitted are whole requests
         self._parts: tuple[int, list[float]] = (-PARTS_NS, [])  # as last reckoned
         self._heard: dict[int, tuple[int, tuple[float, ...]]] = {}  # sidecar -> when measured, its rates
@@ -72,19 +74,25 @@
         rows = [self.own(now), *(rates for _, rates in self.fresh(now).values())]
         return [sum(column) / len(rows) * self._size for column in zip(*rows, strict=True)]
 
-    def part(self, now: int, tenant: int) -> float:
-        """The part of a tenant's requests that its quota has room for."""
-        if now - self._parts[0] >= PARTS_NS:
-            rates = zip(self.fleet(now), self.quotas, strict=True)
+    def part(self, now: int, tenant: int, strained: bool) -> float:
+        """The part of a tenant's requests that is admitted: what its quota has room for, and more by as much
+        as the servers have borne of late. Danger: with all or nothing by the moment's strain, a flood comes
+        and goes with the lag of the servers' reports, and each time fills their queues."""
+        passed, parts = now - self._parts[0], self._parts[1]
+        if passed >= PARTS_NS:
+            pairs = zip(self.fleet(now), self.quotas, strict=True)
+            over = [max(1.0, rate / quota) if quota > 0 else 1.0 for rate, quota in pairs]
+            steps = min(passed / PARTS_NS, 10.0)
+            slack = min(self._slack, max(over)) * (TIGHTEN if strained else LOOSEN) ** steps
+            self._slack = max(1.0, slack)
             least = LEAST_PART if len(self._heard) >= FEW * (self._size - 1) else FEW_PART
-            self._parts = now, [max(least, quota / rate) if rate > quota > 0 else 1.0
-                                for rate, quota in rates]  # fmt: skip
-        return self._parts[1][tenant] if tenant < len(self.quotas) else 1.0
+            parts = [min(1.0, max(least, self._slack / times)) for times in over]
+            self._parts = now, parts
+        return parts[tenant]
 
-    def admit(self, now: int, tenant: int) -> bool:
+    def admit(self, now: int, tenant: int, strained: bool) -> bool:
         """Whether this request is among the part. Evenly, not by a draw: that alone would be 5 % off."""
-        part = self.part(now, tenant)
-        if part >= 1.0:
+        if tenant >= len(self.quotas) or (part := self.part(now, tenant, strained)) >= 1.0:
             return True
         self._credit[tenant] += part
         admitted = self._credit[tenant] >= 1.0
