Keep the servers of known that did not change in the stored list

The new process said 'state: starting from the stored list of revision 5', 'held: none of 3 ready endpoints may be sent to', and its traffic lines named 4 servers of 8. The servers left out never came back, as the watch asked for changes too. The test of a restart with discovery down runs with a first line of changes as well, and fails without the change.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -53,7 +53,7 @@
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
-        self._snapshot = ListSnapshot(self._store) if self._store else None
+        self._snapshot = ListSnapshot(self._store, config.known_members) if self._store else None
         self._memory = Memory(self._store, self._sidecar) if self._store else None
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -102,6 +102,7 @@
     inherited_fd: int | None = None  # the clients' listening socket, where the platform holds it
     folder: Path | None = None  # what is in it outlives the process in an upgrade
     state_dir: Path | None = None  # where the state store is; None: nothing outlives the process
+    known_members: tuple[dict[str, Any], ...] = ()  # `known`'s entries, in discovery's own form
 
 
 def load(env: Mapping[str, str]) -> Config:
@@ -130,6 +131,7 @@
         inherited_fd=_inherited_fd(env),
         folder=Path(env["TMPDIR"]) if env.get("TMPDIR") else None,
         state_dir=_state_dir(env, raw),
+        known_members=tuple((raw.get("known") or {}).get("members", ())),
     )
 
 
--- a/anisespool/state/snapshot.py
+++ b/anisespool/state/snapshot.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import sys
+from collections.abc import Iterable
 from typing import Any
 
 from anisespool.config import MemberList, Names
@@ -18,9 +19,11 @@
     """Discovery's entries by id, as its lines left them; written to the store after each change, one write
     at a time, the last change always among them."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, known_members: Iterable[dict[str, Any]]) -> None:
+        """`known_members`: the configuration's list. Danger: discovery's first line may be what changed since
+        it, and a list kept of the changes alone would lose all servers that did not change."""
         self._store = store
-        self._members: dict[str, dict[str, Any]] = {}
+        self._members = {str(entry["id"]): entry for entry in known_members}
         self._revision = 0
         self._dirty = asyncio.Event()
 
@@ -31,8 +34,10 @@
             if stored is None or stored[0] <= known.revision:
                 return known
             raw = json.loads(stored[1])
+            if raw.get("whole") is not True:
+                raise ValueError("it was kept by a release that stored changes alone")
             found = names.member_list(raw)
-        except (StoreError, ValueError, RecursionError) as error:
+        except (StoreError, ValueError, AttributeError, RecursionError) as error:
             print(f"state: the stored list is left out: {error}"[:300], file=sys.stderr)
             return known
         self._revision, self._members = found.revision, {str(m["id"]): m for m in raw["members"]}
@@ -55,7 +60,7 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
-            body = json.dumps({"revision": self._revision, "complete": True,
+            body = json.dumps({"revision": self._revision, "complete": True, "whole": True,
                                "members": list(self._members.values())})  # fmt: skip
             try:
                 await self._store.save_list(self._revision, body)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -121,13 +121,15 @@
 
 
 @limited
+@pytest.mark.parametrize("complete", [True, False])  # discovery's first line: all, or what has changed
 async def test_a_restart_with_discovery_down_sends_nothing_to_what_drained_before_the_kill(
-    tmp_path: Path,
+    tmp_path: Path, complete: bool
 ) -> None:
     drains, stays = Endpoint(OK), Endpoint(OK)
     async with drains.serve(), stays.serve():
         rows = [member("s-0", drains.address), member("s-1", stays.address)]
-        later = member_list(3, [member("s-0", drains.address, "draining"), rows[1]])
+        drained = member("s-0", drains.address, "draining")
+        later = member_list(3, [drained, *(rows[1:] if complete else ())], complete)
         async with TellingDiscovery(later).serve() as discovery:
             kills = Kills(tmp_path, write_config(tmp_path, discovery.address, rows))  # known: both up
             process, _ = await kills.start()
@@ -211,7 +213,7 @@
             for turn in range(STARTS):
                 it.home(0).mkdir()
                 if stored and (store := Store.open(it.home(0), "n0")):
-                    now, body = now_ms(), member_list(2, rows)
+                    now, body = now_ms(), member_list(2, rows) | {"whole": True}
                     await store.save_list(2, json.dumps(body))
                     await store.put([Record("learned", row["id"], now, now + 60_000, "[1.5, 0.0]")
                                      for row in rows])  # fmt: skip
