Reckon the quorum of peers in one place

Need: on rereading the change, the same formula stood in verdicts, hearsay and the warm start. Change: shuntlead.verdicts.quorum serves all three; the behaviour is the same. Measured: ruff, mypy and the tests of verdicts, hearsay and warm start pass.

--- a/anisespool/state/warm.py
+++ b/anisespool/state/warm.py
@@ -17,7 +17,7 @@
 
 from anisespool.peers import MAX_DATAGRAM, Peers
 from anisespool.sidecar import Sidecar
-from shuntlead.verdicts import QUORUM
+from shuntlead.verdicts import quorum
 
 ASK, PART = b"\x02", b"\x03"  # the kinds of datagrams
 _ASK = struct.Struct("<II?")  # nonce, digest of what the asker's list has as up, whether it wants sightings
@@ -61,7 +61,7 @@
         """`has_list`: whether discovery has told this process a list, so that it may answer others."""
         self._peers, self._sidecar, self._has_list = peers, sidecar, has_list
         self._others = [n for n in range(min(fleet_size, len(peers.addresses))) if n != self_index]
-        self._quorum = max(1, min(QUORUM, len(self._others)))
+        self._quorum = quorum(len(self._others) + 1)
         self._nonce = random.getrandbits(32)
         self._due: dict[int, set[int]] = {}  # peers asked -> numbers of parts heard
         self._complete: set[int] = set()  # whose whole answer has come, with a list
--- a/shuntlead/hearsay.py
+++ b/shuntlead/hearsay.py
@@ -1,7 +1,7 @@
 """What peers' lists say before this sidecar's own first list has come: a warm start.
 
 A restart begins with an old list, on which servers that drained or went since are still up. A peer whose
-list is later names those that are no longer up; where QUORUM distinct peers agree, nothing is sent there.
+list is later names those that are no longer up; where a quorum of peers agrees, nothing is sent there.
 That only takes endpoints out of the draw: what discovery has not named here is never sent to on hearsay. It
 ends with the first list of discovery, or HEARSAY_NS after it was heard, and never takes out over
 MOST_HELD_OUT.
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 
 from shuntlead.interface import PeerRoster
-from shuntlead.verdicts import QUORUM
+from shuntlead.verdicts import quorum
 
 HEARSAY_NS = 30_000_000_000  # discovery down for longer: what peers said is old by then
 MOST_HELD_OUT = 0.75  # of the endpoints that the list in use has as up: a release may replace most of them
@@ -20,7 +20,7 @@
 
 class Hearsay:
     def __init__(self, fleet_size: int) -> None:
-        self.quorum = max(1, min(QUORUM, fleet_size - 1))
+        self.quorum = quorum(fleet_size)
         self.over = False  # discovery itself has spoken
         self._until = 0
         self._down: dict[int, set[int]] = {}  # endpoint -> senders whose list does not have it as up
--- a/shuntlead/verdicts.py
+++ b/shuntlead/verdicts.py
@@ -22,6 +22,11 @@
 BAD = frozenset((Status.ERROR, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET))
 
 
+def quorum(fleet_size: int) -> int:
+    """How many distinct peers' word counts as evidence in a fleet of that size."""
+    return max(1, min(QUORUM, fleet_size - 1))
+
+
 class _Record:
     __slots__ = ("failing", "own", "peers", "reason", "times", "until")
 
@@ -34,7 +39,7 @@
 
 class Verdicts:
     def __init__(self, fleet_size: int) -> None:
-        self.quorum = max(1, min(QUORUM, fleet_size - 1))
+        self.quorum = quorum(fleet_size)
         self.mean = 0.0  # failing share of all attempts
         self._records: dict[int, _Record] = {}
 
