Read on for a client whose long body ended while its server was full

Cause: flow.py, Flow.hold and end: where the last piece of a body fills the server's connection, the source is held, and Connection.flow_end then forgets the upload, so nobody lets go. The client's next request is never read, and lost when the connection is closed as idle after 2.25 s. Ruled out: a false hang-up (each of 25 POLLRDHUP looks was followed by the client's end in the same ms). Change: a body that has ended holds nobody.

--- a/anisespool/flow.py
+++ b/anisespool/flow.py
@@ -43,8 +43,11 @@
             self.hold()
 
     def end(self) -> None:
+        """Danger: nobody lets go of a source that is held when its last bytes come, and what follows them is
+        never read. There is nothing left to hold back."""
         if not self.broken and not self.done:
             self.done = True
+            self.go()
             if self._sink:
                 self._sink.flow_end()
 
@@ -75,7 +78,7 @@
         self.go()
 
     def hold(self) -> None:
-        if not self.paused:
+        if not self.paused and not self.done:
             self.paused = True
             self._pause()
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -61,13 +61,22 @@
 class Peer:
     """Something that listens on a port of its own."""
 
+    holds = 0  # bytes that the kernel takes for it unread; 0: as many as usual
+
     def __init__(self) -> None:
         self.connections: list[Streams] = []
         self.address = Address("", 0)
 
+    def _listener(self) -> socket.socket:
+        listener = socket.socket()
+        if self.holds:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.holds)
+        listener.bind(("127.0.0.1", 0))
+        return listener
+
     @asynccontextmanager
     async def serve(self) -> AsyncIterator[Self]:
-        server = await asyncio.start_server(self._connected, "127.0.0.1", 0, backlog=512)
+        server = await asyncio.start_server(self._connected, sock=self._listener(), backlog=512)
         self.address = Address(*server.sockets[0].getsockname())
         try:
             yield self
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,46 @@
+"""Events that cross: with real connections, held in the bad order by events."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from pathlib import Path
+
+from tests.net import OK, Endpoint, exchange, raw_call, read_response, until, world
+
+async def test_a_long_body_whose_end_waits_for_its_server_does_not_leave_its_client_unread(
+    tmp_path: Path,
+) -> None:
+    """Danger: reading stays paused though the body has ended; the client's next request is never read, and
+    lost when its connection has stood idle for too long."""
+    go_on = asyncio.Event()
+
+    class Slow(Endpoint):
+        """It reads nothing before it is told to, and holds little."""
+
+        holds = 4096
+
+        async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.connections.append((reader, writer))
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await go_on.wait()
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            with suppress(OSError, EOFError):
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0]))
+                writer.write(OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n", 1))
+
+    async with Slow().serve() as endpoint, world(tmp_path, endpoint) as it:
+        reader, writer = await asyncio.open_connection(*it.address)
+        for size in range(2_740_000, 2_960_000, 10_000):  # of one of these the last piece is what has to wait
+            go_on.clear()
+            writer.write(raw_call("once", f"t{size}", left_ms=5000, body=bytes(size)))
+            await until(lambda: not writer.transport.get_write_buffer_size())
+            for _ in range(30):  # all that is ready is read in a turn of the loop
+                assert (await exchange(it.address, b"GET /healthz HTTP/1.1\r\n\r\n")).status == 200
+            go_on.set()
+            assert (await read_response(reader)).status == 200
+            writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+            async with asyncio.timeout(1.0):
+                assert (await read_response(reader)).status == 200, size
+        writer.close()
