Close idle clients, longest first, before any with a request being read

A half-written request was weighed against the idle ones (waits.py: a quarter of its quiet), so one whose last byte was 0.5 s old was cut off with 408 while clients rested, tests/test_reserve.py. Now all idle ones go first; a begun request may go only once no byte of it came for 1 s and no idle client is left.

--- a/anisespool/front/client.py
+++ b/anisespool/front/client.py
@@ -44,9 +44,12 @@
 
     @property
     def may_go(self) -> bool:
-        """Nothing is owed on it but a request that it has yet to bring, or an answer that nobody reads."""
-        reads = self._outlet.unsent and self._waits.reads(monotonic())
-        return not (self._busy or self._queue or reads)
+        """Nothing is owed on it but a request that it has yet to bring, or an answer that nobody reads; and
+        no request is being read."""
+        now = monotonic()
+        reads = self._outlet.unsent and self._waits.reads(now)
+        is_coming = self._parser.partial and not self._closing and self._waits.is_reading(now)
+        return not (self._busy or self._queue or reads or is_coming)
 
     def quiet(self, now: float) -> float:
         """For how long it has kept us waiting, as Waits.quiet has it."""
--- a/anisespool/front/waits.py
+++ b/anisespool/front/waits.py
@@ -10,7 +10,8 @@
 LATE_START_S = 0.5  # of that, which a client may let pass before its first byte without loss
 BODY_GRACE_S, BODY_RATE = 0.75, 60_000  # a body's bytes a second, a little under what clients are allowed
 STALL_S = 10.0  # for a client to read any of what waits for it
-PARTIAL_QUIET, SILENT_QUIET = 0.25, 8.0  # a second of it, in seconds between two requests
+SILENT_QUIET = 8.0  # a second before the first request, in seconds between two requests
+READING_S = 1.0  # a request of which no byte came for so long is not being read any more
 
 
 class Waits:
@@ -69,10 +70,14 @@
     def is_body_late(self, now: float) -> bool:
         return not self._held_at and now > self._head_at + BODY_GRACE_S + self._since_head / BODY_RATE
 
+    def is_reading(self, now: float) -> bool:
+        """Of a request that has begun, bytes have come of late."""
+        return now < self._heard_at + READING_S
+
     def quiet(self, now: float, partial: bool, served: bool) -> float:
         """For how long it has kept us waiting, against what its kind may take: the longest makes room. A
-        client writes as it connects, brings its next request some time after an answer, which it may also do
-        on a new connection, and may take seconds in the midst of one."""
+        client writes as it connects, and brings its next request some time after an answer, which it may also
+        do on a new connection. One in the midst of a request comes after all that are idle, below 0."""
         if partial:
-            return (now - self._heard_at) * PARTIAL_QUIET
+            return -1 / max(1e-3, now - self._heard_at)
         return (now - self.since) * (1.0 if served else SILENT_QUIET)
