Keep a connection that comes up after its request was answered and forgotten

A dial that came up after its request was over raised KeyError, and its connection was held for good. Measured: tests/test_gone.py asks for the connection back; fails without the mend.

--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -37,6 +37,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
 
+    @property
+    def busy(self) -> int:
+        """Connections that are not idle."""
+        return len(self.connections) - sum(len(pool.idle) for pool in self._pools.values())
+
     def limit(self, most: int) -> None:
         """Of those over it the idle ones go at once, those that have been so longest first."""
         self._most = most
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -73,6 +73,11 @@
         """Requests that are owed an answer, or whose attempts have not all ended."""
         return self._sidecar.open
 
+    @property
+    def connections(self) -> int:
+        """To servers, that are not idle."""
+        return self._endpoints.busy
+
     async def run(
         self, stop: asyncio.Event, moves: asyncio.Queue[Address], on_listening: Callable[[Address], None]
     ) -> None:
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -171,8 +171,7 @@
     def _stays(self, attempt: Attempt) -> bool:
         """Whether the attempt may still begin: its client is there. Danger: with the end of a connection yet
         unread, work would be begun that nobody waits for. One that has gone ends the attempt here."""
-        exchange = self._exchanges[attempt.request_id]
-        if attempt.status is None and exchange.is_gone():
+        if attempt.status is None and self._exchanges[attempt.request_id].is_gone():
             self.client_gone(attempt.request_id)
         return attempt.status is None
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -165,6 +165,7 @@
             await gone(it, 0)
             await server.come_up()
             assert server.received == b""
+            assert it.service.connections == 0  # nor is the connection forgotten
 
 
 async def test_a_client_that_sends_and_goes_at_once_is_not_begun_with(tmp_path: Path) -> None:
