Send cold servers whole turns, dealt over the fleet, in place of a share of the draws

Emulated fleets of 4 to 30 modules (tests/coldfleet.py) before: up to 41 requests beyond that where all or nine in ten of the warm servers are replaced, 9 in a burst where reports show free cores; and a process without a past before cold servers alone sent them nothing for all of cold-ns, as its cap was a share of what it had answered. Cause: draw.py, cap_cold: a share of each draw, whatever the number of draws (held requests are drawn anew), widened by reports, and by the list of the moment.

Change: a sidecar sends a cold server one request a turn. Turns come at its part of the rule's budget, by what a unit of warm weight answers here (counted by the list at the send); phases are dealt evenly by the sidecar's index; they lapse after 0.75 of the span. While one is open the server's odds rise by the part of the time that turns are open. No message, and no count of sidecars but for the phase and a process's first seconds. Way not taken: N whole turns dealt by a hash of server and window; N is told nowhere, and each sidecar's guess of the fleet's rate is off by its own share of the traffic, which cancels only where each deals its own part.

Not shown: the sum with 20 real processes.

--- a/shuntlead/learning.py
+++ b/shuntlead/learning.py
@@ -28,7 +28,7 @@
         if self._desk.now <= req.aim and not req.done:
             self._shedding.answered.add(self._desk.now)
         self._estimates.learn_class(req, took_ns)
-        self._choice.work.add(self._desk.now, attempt.usual)
+        self._choice.carried.add(self._desk.now, 1 / attempt.size)
         self.ended(req, attempt, took_ns, Status.OK)
 
     def ended(self, req: Pending, attempt: Attempt, took_ns: int, status: Status) -> None:
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -126,12 +126,11 @@
         if not self.shedding.is_swamped(endpoint) and (early := self.retries.patience(req, usual)):
             limit = now + early
         self.desk.act(api.Send(req.id, endpoint.id, limit - now if limit < req.give_up else 0))
-        endpoint.out[req.id, len(req.attempts)] = attempt = Attempt(endpoint, now, usual)
+        endpoint.out[req.id, len(req.attempts)] = attempt = Attempt(endpoint, now, usual, self.choice.size)
         req.attempts.append(attempt)
-        endpoint.since += 1
+        endpoint.since, endpoint.turn = endpoint.since + 1, endpoint.turn + (now < endpoint.warm_at)
         if len(endpoint.out) > endpoint.held * self.settings.streams_per_conn:
             endpoint.held, endpoint.held_at = endpoint.held + 1, now
-        self.choice.offered.add(now, usual)
         self.keys.pin(req, endpoint)
 
     def _end(self, req: Pending, over_quota: bool = False) -> None:
--- a/shuntlead/records.py
+++ b/shuntlead/records.py
@@ -11,7 +11,7 @@
 class Endpoint:
     __slots__ = ("row", "id", "zone", "weight", "ready", "out", "passing", "slow", "slow_at", "by_class",
                  "queue", "queue_at", "since", "cold_from", "warm_at", "ramp", "answered", "held",
-                 "held_at", "ejected", "util")  # fmt: skip
+                 "held_at", "ejected", "phase", "phase_at", "turn", "util")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
@@ -25,6 +25,8 @@
         self.cold_from = row.started_ns  # when its ramp began: its start, or its return from an ejection
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
+        self.phase = settings.self_index / settings.fleet_size  # while cold: turns that have come here,
+        self.phase_at, self.turn = 0, -1  # until when, and how many of them were used or lapsed
         self.ejected = False
         self.util = 0.0  # part of its cores in use, by its last report
         self.update(row)
@@ -36,10 +38,11 @@
 
 
 class Attempt:
-    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "passing", "sent", "usual")
+    __slots__ = ("begun", "endpoint", "may_have_run", "moving_since", "open", "passing", "sent", "size",
+                 "usual")  # fmt: skip
 
-    def __init__(self, endpoint: Endpoint, sent: int, usual: float) -> None:
-        self.endpoint, self.sent, self.usual = endpoint, sent, usual
+    def __init__(self, endpoint: Endpoint, sent: int, usual: float, size: float) -> None:
+        self.endpoint, self.sent, self.usual, self.size = endpoint, sent, usual, size
         self.open = self.may_have_run = True
         self.begun = False  # its long answer is on its way to the client
         self.passing = False  # its body or answer is merely on its way: it waits for no work
--- a/shuntlead/shedding.py
+++ b/shuntlead/shedding.py
@@ -31,7 +31,6 @@
         # Mean part of the endpoints' cores in use, by their reports of late. Danger: taken for full before
         # any has come, a process that has just started refuses what idle endpoints would serve.
         self.busy, self._reports = 0.0 if self._reported else 1.0, 0
-        self._cold_busy, self._cold_at = 1.0, 0
         self._util_column = (*s.report_columns, "util").index("util")
 
     def asked(self, tenant: int) -> None:
@@ -42,9 +41,6 @@
         if self._util_column < len(load) and 0 <= load[self._util_column] <= 2:
             e.util = util = min(load[self._util_column], 1.0)
             self._see_busy(util)
-            if self._desk.now < e.warm_at:
-                known = self.cold_busy()
-                self._cold_busy, self._cold_at = known + BUSY_ALPHA * (util - known), self._desk.now
 
     def timed_out(self, e: Endpoint) -> None:
         """Danger: reports come with answers, and of endpoints that are swamped few come. By the answers alone
@@ -56,10 +52,6 @@
         self._reports += 1
         self.busy += max(BUSY_ALPHA, 1 / self._reports) * (util - self.busy)
 
-    def cold_busy(self) -> float:
-        """Mean part of cold endpoints' cores in use, by their reports; it fades to 1, as where none came."""
-        return 1 + (self._cold_busy - 1) * exp2((self._cold_at - self._desk.now) / self._desk.forget_ns)
-
     def strain(self, sample: float = 0.0, alpha: float = 0.0) -> float:
         """Share of their targets that attempts took of late, moved toward a sample; it fades with time."""
         now = self._desk.now
