Let a connection to a server rest 30 ms before it carries another request

One that came just after its connection had been taken for reuse was passed on as the answer to the next request (connection.py knows answers by order alone); tests/test_crossings.py, first reuse. Now it meets a resting connection, and ends it. Where no descriptor is left, one that has hardly rested is used rather than none. Ruled out: telling answers apart by what they hold; servers send no id back. Tests that count connections for reuse at once set the rest to 0; the rest has its own test.

--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import time
+from errno import EMFILE, ENFILE
 
 from anisespool import http1
 from anisespool.config import Address
 from anisespool.endpoints.attempt import Attempt
 from anisespool.endpoints.connection import Connection
-from anisespool.endpoints.pool import Idle, Pool
+from anisespool.endpoints.pool import REST_S, Idle, Pool
 from anisespool.log import say
 from shuntlead.interface import Status
 
@@ -95,12 +96,9 @@
             return
         attempt.counts = pool.counts
         pool.counts["sends"] += 1
-        while pool.idle:
-            connection = pool.idle.pop()
-            if connection.fresh():
-                self._start(connection, pool, attempt)
-                return
-            connection.discard()
+        if connection := pool.take(time.monotonic() - REST_S):
+            self._start(connection, pool, attempt)
+            return
         if len(self.connections) + self._opening >= self._most and not self._evict():
             attempt.end(Status.CONNECT_FAILED)
             return
@@ -112,7 +110,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _open(self, pool: Pool, attempt: Attempt) -> None:
-        connection: Connection | None = None
+        connection: Idle | None = None
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_timeout_s):
@@ -120,8 +118,9 @@
         except TimeoutError:
             if pool.heard_ns < attempt.started_ns:
                 pool.close_idle()  # as for Connection.suspect
-        except OSError:
-            pass
+        except OSError as error:
+            if error.errno in (EMFILE, ENFILE):  # no descriptor is left: one that has hardly rested will do
+                connection = pool.take(time.monotonic())
         finally:
             self._opening -= 1
             pool.waiting.discard(attempt)
@@ -146,7 +145,7 @@
         host = f"{pool.address.host}:{pool.address.port}".encode()
         connection.start(attempt, http1.encode_request(attempt.request, host, headers))
 
-    def release(self, connection: Connection, pool: Pool) -> None:
+    def release(self, connection: Idle, pool: Pool) -> None:
         if pool.open_to_new and len(pool.idle) < MAX_IDLE and connection.fresh():
             connection.idle_since = time.monotonic()
             pool.idle.append(connection)
--- a/anisespool/endpoints/pool.py
+++ b/anisespool/endpoints/pool.py
@@ -9,6 +9,8 @@
 from anisespool.endpoints.attempt import Attempt
 from shuntlead.interface import Status
 
+REST_S = 0.03  # for an endpoint to have said all that it has to say to the request before
+
 
 class Idle(Protocol):
     """A connection between two attempts."""
@@ -33,6 +35,18 @@
         self.held = 0  # connections
         self.load: tuple[float, ...] = ()  # as last reported
 
+    def take(self, rested_since: float) -> Idle | None:
+        """The latest used of the connections that are fit for another request. Danger: a second answer may
+        come some milliseconds late; on one taken at once it would be the answer to the next request. On one
+        that rests it ends the connection."""
+        for n in range(len(self.idle) - 1, -1, -1):
+            if self.idle[n].idle_since <= rested_since:
+                connection = self.idle.pop(n)
+                if connection.fresh():
+                    return connection
+                connection.discard()
+        return None
+
     def close_idle(self) -> None:
         idle, self.idle = self.idle, []
         for connection in idle:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,6 +10,7 @@
 import pytest
 
 from anisespool.config import Address
+from anisespool.endpoints import endpoints
 from anisespool.http1 import Request
 from shuntlead.interface import Status
 from tests.net import OK, Endpoint, until
@@ -17,6 +18,12 @@
 from tests.test_endpoints import GET, Driver, answer, say_nothing
 
 
+@pytest.fixture(autouse=True)
+def taken_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection may be used again at once; that it rests first is shown in tests/test_crossings.py."""
+    monkeypatch.setattr(endpoints, "REST_S", 0.0)
+
+
 async def test_connections_are_kept_and_carry_one_request_at_a_time() -> None:
     async with Endpoint().serve() as endpoint:
         driver = Driver(endpoint.address)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 
 from tests.net import OK, Endpoint, exchange, raw_call, read_response, until, world
 
+
 async def test_a_long_body_whose_end_waits_for_its_server_does_not_leave_its_client_unread(
     tmp_path: Path,
 ) -> None:
@@ -44,3 +45,26 @@
             async with asyncio.timeout(1.0):
                 assert (await read_response(reader)).status == 200, size
         writer.close()
+
+
+async def test_a_late_second_answer_is_not_the_answer_to_the_next_request(tmp_path: Path) -> None:
+    """It comes just when the next request has: on the connection of the first, wherever the next one is."""
+    stray = OK.replace(b"ok", b"no")
+    arrived: list[asyncio.StreamWriter] = []
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        arrived.append(writer)
+        if len(arrived) % 2 == 0:
+            arrived[-2].write(stray)
+            with suppress(OSError):
+                await arrived[-2].drain()
+            await asyncio.sleep(0)
+        writer.write(OK)
+
+    async with Endpoint(play).serve() as endpoint, world(tmp_path, endpoint) as it:
+        reader, writer = await asyncio.open_connection(*it.address)
+        for n in range(20):
+            writer.write(raw_call("once", f"t{n}"))
+            assert (await read_response(reader)).body == b"ok"
+        await until(lambda: it.service.connections == 0)
+        writer.close()
