--- a/anisespool/front/client.py
+++ b/anisespool/front/client.py
@@ -38,7 +38,7 @@
         return "between requests" if self._served else "silent"
 
     def close_if_idle(self) -> None:
-        if self.idle and self._transport:
+        if self.idle and self._transport and not self.has_unread():
             self._closing = True
             self._transport.close()
 
@@ -56,10 +56,11 @@
         gone = self._closing or self._outlet.unread
         return inf if gone else self._waits.quiet(now, self._parser.partial, self._served)
 
-    def make_room(self) -> None:
-        """Its descriptor is wanted now: there is no time to wait for the client's end."""
-        if not self._transport:
-            return
+    def make_room(self) -> bool:
+        """Its descriptor is wanted now: there is no time to wait for the client's end. Whether it goes: not
+        where a request has just come."""
+        if not self._transport or not self._closing and self.has_unread():
+            return False
         self._place.connections.discard(self)  # or it would be chosen again before it has gone
         if self._parser.partial and not self._closing:
             self._transport.write(http1.encode_response(HTTPStatus.REQUEST_TIMEOUT, close=True))
@@ -70,6 +71,7 @@
             self._transport.abort()
         else:
             self.close_if_idle()
+        return True
 
     def end_wait(self) -> None:
         """It has had its time for a request, or the rest of one."""
--- a/anisespool/front/reading.py
+++ b/anisespool/front/reading.py
@@ -50,7 +50,7 @@
     def __init__(self, paused: Paused) -> None:
         self._paused = paused
         self._transport: asyncio.Transport | None = None
-        self._hangup = select.poll()
+        self._hangup, self._unread = select.poll(), select.poll()
 
     def _leave(self) -> None:
         """The client has gone: nothing more is begun for it, and what is under way ends."""
@@ -59,7 +59,14 @@
     def _watch_hangup(self) -> None:
         """Also seen behind bytes yet unread, where a read would come to the end only after them."""
         assert self._transport
-        self._hangup.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        self._hangup.register(descriptor, select.POLLRDHUP)
+        self._unread.register(descriptor, select.POLLIN)
+
+    def has_unread(self) -> bool:
+        """Bytes or an end have come that the loop has yet to read. Danger: a close now would reset the
+        connection under a request, and take an answer with it that is still on its way."""
+        return self._transport is not None and not self._transport.is_closing() and bool(self._unread.poll(0))
 
     def is_gone(self) -> bool:
         """The client has closed its connection, or its side of it, whether or not we have read that far."""
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -71,11 +71,13 @@
 
     def make_room(self, but: ClientConnection | None = None) -> bool:
         """A descriptor is wanted; whether one will be free."""
-        waiting = [c for c in self.connections if c.may_go and c is not but]
-        if waiting:
-            now = time.monotonic()
-            max(waiting, key=lambda c: c.quiet(now)).make_room()
-        return bool(waiting)
+        waiting, now = [c for c in self.connections if c.may_go and c is not but], time.monotonic()
+        while waiting:
+            longest = max(waiting, key=lambda c: c.quiet(now))
+            if longest.make_room():
+                return True
+            waiting.remove(longest)
+        return False
 
     def share(self, connection: Conversation) -> int:
         """Bytes that may wait for one more client of a long answer."""
@@ -164,7 +166,9 @@
         # A request may be on its way in on any of those; a half-written one gets no longer than this.
         half_written = loop.time() + HALF_WRITTEN_S
         await asyncio.sleep(0.02)
-        while any(c.owed or not c.idle and loop.time() < half_written for c in self.connections):
+        while any(
+            c.owed or (c.has_unread() if c.idle else loop.time() < half_written) for c in self.connections
+        ):
             await asyncio.sleep(0.01)
         self._close_idle()
         await asyncio.sleep(0)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import suppress
 from pathlib import Path
+from time import monotonic
 
-from tests.net import OK, Endpoint, exchange, raw_call, read_response, until, world
+import pytest
+
+from anisespool.config import Address, load
+from anisespool.front.server import Server
+from tests.net import OK, Endpoint, exchange, raw_call, read_response, until, world, write_config
+from tests.test_driver import driven, send_once
 
 
 async def test_a_long_body_whose_end_waits_for_its_server_does_not_leave_its_client_unread(
@@ -47,6 +54,36 @@
         writer.close()
 
 
+@pytest.mark.parametrize("closes", ["room", "sweep", "stop"])
+async def test_an_idle_connection_on_which_a_request_has_just_come_is_not_closed(
+    tmp_path: Path, closes: str
+) -> None:
+    """The request is in the kernel, and the loop has not read it yet. Closed now, it would be reset."""
+    async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        config = load(write_config(tmp_path, endpoint.address, []))
+        listener = Server(it.sidecar, config.names, config.settings, 8)
+        address = listener.listen(Address("127.0.0.1", 0))
+        with socket.create_connection(address) as client:
+            client.sendall(b"GET /healthz HTTP/1.1\r\n\r\n")
+            await until(lambda: any(c.state == "between requests" for c in listener.connections))
+            client.recv(65536)
+            [connection] = listener.connections
+            client.sendall(raw_call("once"))  # and in the same turn of the loop:
+            if closes == "room":
+                assert not listener.make_room()
+            elif closes == "sweep":
+                connection.end_if_late(monotonic() + 60.0)
+            else:
+                stopping = asyncio.create_task(listener.stop(0.01))
+                await asyncio.sleep(0)
+            client.setblocking(False)
+            answer = await asyncio.get_running_loop().sock_recv(client, 65536)
+            assert answer.startswith(b"HTTP/1.1 200")
+        if closes != "stop":
+            stopping = asyncio.create_task(listener.stop(0.0))
+        await stopping
+
+
 async def test_a_late_second_answer_is_not_the_answer_to_the_next_request(tmp_path: Path) -> None:
     """It comes just when the next request has: on the connection of the first, wherever the next one is."""
     stray = OK.replace(b"ok", b"no")
