Let no request become whole after a planned end, nor a cut long answer end in order

A client that closes its side under a long answer got an orderly end; for a body of no told length that passes for the whole; now a reset. Measured: tests/test_crossings.py: 200 and a send after the end without the mend; 408 and none with it. SIGTERM twice with SIGHUP under 9 requests: all answered, exit 0 (passed before as well).

--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -73,6 +73,8 @@
 
     def eof_received(self) -> None:
         """Danger: with an answer yet unsent the transport tells its loss late, and more would be begun."""
+        if self._outlet.at_length:  # an end in order would pass for that of a body of no told length
+            self._outlet.reset()
         self._leave()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -170,7 +170,9 @@
             c.owed or (c.has_unread() if c.idle else loop.time() < half_written) for c in self.connections
         ):
             await asyncio.sleep(0.01)
-        self._close_idle()
+        # Danger: a request that is whole only from now on would be sent on, and lost with this process.
+        for connection in list(self.connections):
+            connection.end_wait()
         await asyncio.sleep(0)
 
     def _end_listener(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 from contextlib import suppress
 from pathlib import Path
@@ -11,9 +12,25 @@
 import pytest
 
 from anisespool.config import Address, load
+from anisespool.front import server
 from anisespool.front.server import Server
-from tests.net import OK, Endpoint, exchange, raw_call, read_response, until, world, write_config
+from tests.net import (
+    OK,
+    Endpoint,
+    exchange,
+    free_port,
+    held_until,
+    member,
+    raw_call,
+    read_response,
+    until,
+    world,
+    write_config,
+)
+from tests.support import SECOND
 from tests.test_driver import driven, send_once
+from tests.test_gone import SlowDial
+from tests.test_program import NOWHERE, start
 
 
 async def test_a_long_body_whose_end_waits_for_its_server_does_not_leave_its_client_unread(
@@ -84,6 +101,49 @@
         await stopping
 
 
+async def test_a_request_whose_last_byte_comes_after_a_planned_end_is_not_sent_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Danger: it would be under way when the process ends, and lost."""
+    monkeypatch.setattr(server, "HALF_WRITTEN_S", 0.05)
+    async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        config = load(write_config(tmp_path, endpoint.address, []))
+        listener = Server(it.sidecar, config.names, config.settings, 8)
+        reader, writer = await asyncio.open_connection(*listener.listen(Address("127.0.0.1", 0)))
+        data = raw_call("once", body=b"abc")
+        writer.write(data[:-1])
+        await until(lambda: any(c.state == "half-written" for c in listener.connections))
+        await listener.stop(0.0)
+        writer.write(data[-1:])
+        assert (await read_response(reader)).status == 408
+        assert await reader.read() == b"" and not endpoint.requests
+
+
+async def test_signals_that_come_together_leave_what_was_taken_its_answer(tmp_path: Path) -> None:
+    """SIGTERM twice, and SIGHUP with them, while an answer, a dial and a half request are under way."""
+    release = asyncio.Event()
+    async with Endpoint(held_until(release)).serve() as endpoint, SlowDial().serve() as late:
+        listen = Address("127.0.0.1", free_port())
+        rows = [member("s-0", endpoint.address), member("s-1", late.address)]
+        env = write_config(tmp_path, NOWHERE, rows, "{}:{}".format(*listen),
+                           allowed__connect_timeout_ns=5 * SECOND)  # fmt: skip
+        process = await start(env)
+        answers = [asyncio.create_task(exchange(listen, raw_call("look", f"t{n}"))) for n in range(8)]
+        reader, half = await asyncio.open_connection(*listen)
+        data = raw_call("look", "half")
+        half.write(data[:20])
+        await until(lambda: bool(endpoint.requests))
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            process.send_signal(number)
+        half.write(data[20:])
+        release.set()
+        statuses = {(await answer).status for answer in answers} | {(await read_response(reader)).status}
+        assert statuses <= {200, 503} and 200 in statuses
+        await process.communicate()
+        assert process.returncode == 0
+        half.close()
+
+
 async def test_a_late_second_answer_is_not_the_answer_to_the_next_request(tmp_path: Path) -> None:
     """It comes just when the next request has: on the connection of the first, wherever the next one is."""
     stray = OK.replace(b"ok", b"no")
