--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -49,6 +49,7 @@
         self._clock = CallClock(fleet_size, ask_within_ns / 1e9)
         self.start_delay_s = self._clock.start_delay(bool(known.members) and not at_once)
         self.heard = asyncio.Event()  # a list, or a change of one
+        self.failed = asyncio.Event()  # a call
         self._moved = asyncio.Event()
         self._stream: _Stream | None = None  # the one whose lines count
 
@@ -80,6 +81,7 @@
                     held = call
                 else:
                     call.close()
+                    self.failed.set()
                     await self._pause(self._clock.failed())
                     held = held if held and not held.ended else None
                 if held and held.address == self.address:
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -31,6 +31,7 @@
 LAST_S = 0.5  # past the longest deadline of what was taken till then: nothing can still be in time
 BUFFERS_PART = 8  # of the memory, for long bodies on their way
 LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
+PUSHED_WAIT_S = 1.0  # for what the agent has: it counts as told from a process's first moment
 ADMIN_BACKLOG = 128
 
 
@@ -109,8 +110,10 @@
             works.append(pair.follow())
         tasks = [loop.create_task(work) for work in works]
         if self._config.inherited_fd is not None:
-            await self._first_list(stop)
-        elif self._warm:
+            await self._first_list(LIST_WAIT_S, stop)
+        elif self._config.settings.discovery == "push":
+            await self._first_list(PUSHED_WAIT_S, stop, self._watch.failed)
+        if self._config.inherited_fd is None and self._warm:
             await self._warm.ask(self._watch.heard)
             tasks.append(loop.create_task(self._warm.follow(self._watch.heard)))
         on_listening(self._listen())
@@ -153,12 +156,12 @@
             name = "LB_LISTEN" if descriptor is None else "LB_INHERITED_FD"
             raise ConfigError(f"{name}: {error}") from None
 
-    async def _first_list(self, stop: asyncio.Event) -> None:
+    async def _first_list(self, wait_s: float, *otherwise: asyncio.Event) -> None:
         """Danger: with the old list a new process would send to what is gone."""
-        heard, stopped = (asyncio.ensure_future(event.wait()) for event in (self._watch.heard, stop))
-        await asyncio.wait((heard, stopped), timeout=LIST_WAIT_S, return_when=asyncio.FIRST_COMPLETED)
-        heard.cancel()
-        stopped.cancel()
+        waits = [asyncio.ensure_future(event.wait()) for event in (self._watch.heard, *otherwise)]
+        await asyncio.wait(waits, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
 
     async def _end(self) -> None:
         longest_s = max(c.deadline_ns for c in self._config.settings.classes) / 1e9
--- a/tests/net.py
+++ b/tests/net.py
@@ -171,12 +171,13 @@
     for row, name in zip(raw["request-classes"], ("look", "keyed", "once"), strict=True):
         row["name"] = name
     raw["tenants"] = [{"name": "acme", "share": 1.0, "quota-per-s": 100.0}]
-    return raw | {"zones": ["east", "west"], "skus": ["m1"]}
+    return {"discovery": "ask"} | raw | {"zones": ["east", "west"], "skus": ["m1"]}
 
 
 def write_config(
-    folder: Path, discovery: Address, known: list[dict[str, Any]], listen: str = "127.0.0.1:0", **changes: Any
-) -> dict[str, str]:
+    folder: Path, discovery: Address, /, known: list[dict[str, Any]], listen: str = "127.0.0.1:0",
+    **changes: Any,
+) -> dict[str, str]:  # fmt: skip
     """The configuration file, and the environment that names it."""
     raw = {"name": "n0", "seed": "8c1f", "limits": {"sockets": 256}, "known": member_list(1, known)}
     raw["settings"] = settings_json(**changes)
