--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -107,6 +107,22 @@
     print("\n".join(told))
 
 
+@pytest.mark.parametrize("fleet_size", [1, 2, 5, 30, 200, 5000])
+def test_a_call_that_hung_at_discoverys_return_leaves_the_time_for_one_that_waits_in_its_queue(
+    fleet_size: int
+) -> None:
+    """In force since the terms of the stricter acceptance: told 6 s after the return, whatever failed."""
+    queue_s = 2.0  # the longest that a call waits in discovery's queue
+    for _ in range(100):
+        calls = clock.CallClock(fleet_size, 10.0)
+        pauses = [calls.failed() for _ in range(8)]
+        assert clock.CALL_S + max(pauses) + queue_s < clock.TOLD_S
+        assert calls.start_delay(True) + queue_s + max(pauses) < clock.TOLD_S  # the first call of all failed
+        assert calls.ended() + queue_s + max(pauses) < clock.TOLD_S
+        calls.heard(0.0)
+        assert calls.renewal_at() + queue_s < clock.TOLD_S
+
+
 class Overtaken(Peer):
     """Its first watch falls silent, and speaks again while the call in its place has been answered."""
 
