--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -96,10 +96,11 @@
             return
         attempt.counts = pool.counts
         pool.counts["sends"] += 1
-        if connection := pool.take(time.monotonic() - REST_S):
+        is_full = len(self.connections) + self._opening >= self._most
+        if connection := pool.take(time.monotonic() - (0.0 if is_full else REST_S)):
             self._start(connection, pool, attempt)
             return
-        if len(self.connections) + self._opening >= self._most and not self._evict():
+        if is_full and not self._evict():
             attempt.end(Status.CONNECT_FAILED)
             return
         self._opening += 1
--- a/shuntlead/records.py
+++ b/shuntlead/records.py
@@ -33,7 +33,7 @@
 
     def update(self, row: api.Listed) -> None:
         self.row, self.id, self.zone = row, row.endpoint, row.zone
-        self.weight = row.weight if 0 < row.weight < 1e9 else 1.0
+        self.weight = row.weight if 1e-6 < row.weight < 1e9 else 1.0
         self.ready = row.state == EndpointState.READY
 
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -68,6 +68,14 @@
     car.request(hint_ns=hint)
 
 
+def test_cold_endpoints_of_weights_beyond_all_reason_cost_no_decision() -> None:
+    """Danger: a rate of turns without bound is no number, and each draw would fail."""
+    car = Sidecar([listed(n, weight=5e-324) for n in range(4)])
+    car.serve(100, latency_ns=5 * MS)
+    car.roster([listed(4, weight=1e8, started_ns=car.now)])
+    assert len(car.serve(100, latency_ns=5 * MS)) > 50
+
+
 def test_at_most_three_in_ten_are_ejected_whatever_a_quorum_of_peers_says_and_they_come_back_cold() -> None:
     car = Sidecar([listed(n) for n in range(10)], fleet_size=5, ejection=True)
     verdicts = tuple(api.Verdict(n, 10 * SECOND, Status.RESET) for n in range(10))
