Answer all that is read in a shutdown before SIGKILL may come, by one schedule

Server.stop closed idle connections once and waited while anything was owed, so one accepted late, half-written or with requests sent ahead brought further requests; Sidecar.take gave each its own deadline, past the kill, and Service._end's time-out (longest + 1 s) lay past it as well. At fault: Server.stop, Service._end, take, and Conversation._answer, which kept a connection for whatever came ahead.

Ruled out: a second SIGTERM or SIGHUP in the end, stalls of 0.15 s (tests passed before).

Change: front/shutdown.py fixes the schedule at SIGTERM. The driver caps requests, attempts and the deadlines told to servers by its last moment (0.35 s before the kill), the module (event Ending) refuses at once what has less than its class's target left, and the listener ends each connection when its stage's time is over. decisions.py takes the queue of events out of sidecar.py. A client without a place is answered all that it sent ahead (1 of 3 before).

Tests that ended a listener by a number pass a schedule now.

--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -31,9 +31,9 @@
 class Attempt:
     """One try of a request at one endpoint, from the Send until its one status."""
 
-    __slots__ = ("_timer", "begun_ns", "connection", "counts", "deadline_ns", "endpoint", "flow", "load",
-                 "may_start", "number", "on_begin", "on_body", "on_end", "request", "request_id", "response",
-                 "started_ns", "status")  # fmt: skip
+    __slots__ = ("_end_ns", "_timer", "begun_ns", "connection", "counts", "deadline_ns", "endpoint", "flow",
+                 "load", "may_start", "number", "on_begin", "on_body", "on_end", "request", "request_id",
+                 "response", "started_ns", "status")  # fmt: skip
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
                  on_end: Callable[[Attempt], None], on_begin: Callable[[Attempt], None] = _nothing,
@@ -53,8 +53,21 @@
         self.load: tuple[float, ...] = ()
         self.connection: Carrier | None = None
         self.counts: Counter[str] | None = None  # of bad ends, where it was sent
+        self._end_ns: int | None = None  # monotonic: the process ends then
+        self._arm()
+
+    def _arm(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
+        self._timer = loop.call_at(self.deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
+
+    def cap(self, end_ns: int) -> None:
+        """The process ends at `end_ns`, monotonic: no later deadline holds. A long answer that has begun goes
+        on for as long as it makes progress."""
+        self._end_ns = end_ns
+        if self.status is None and self.started_ns and not self.flow and self.deadline_ns > end_ns:
+            self.deadline_ns = end_ns
+            self._timer.cancel()
+            self._arm()
 
     def body_begins(self) -> None:
         """The time for an answer starts with the body's last byte."""
@@ -66,9 +79,10 @@
     def body_ends(self) -> None:
         self.started_ns = time.monotonic_ns()
         self.deadline_ns += self.started_ns
+        if self._end_ns is not None:
+            self.deadline_ns = min(self.deadline_ns, self._end_ns)
         if not self.flow:  # else the answer has begun before it was asked for
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(self.deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
+            self._arm()
         self.on_body(self)
 
     def begin(self, flow: Flow) -> None:
--- a/anisespool/exchange.py
+++ b/anisespool/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 from anisespool.flow import Flow
 from shuntlead.interface import Status
 
+ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
 BACKSTOP_NS = 4_000_000  # the last moment at which the driver answers by itself
 
 
@@ -40,11 +42,15 @@
 class Exchange:
     """A request from its arrival until its last attempt has ended."""
 
-    __slots__ = ("_backstop", "attempts", "call", "deadline_ns", "is_gone", "reply", "streaming")
+    __slots__ = ("_backstop", "_end_ns", "_overdue", "attempts", "call", "deadline_ns", "is_gone", "reply",
+                 "streaming")  # fmt: skip
 
     def __init__(self, call: Call, deadline_ns: int, reply: Callable[[Answer], None],
-                 is_gone: Callable[[], bool]) -> None:  # fmt: skip
+                 is_gone: Callable[[], bool], overdue: Callable[[], None]) -> None:  # fmt: skip
+        """`overdue` is called at the last moment of the client's time, unless it is answered by then."""
         self.call, self.deadline_ns, self.is_gone = call, deadline_ns, is_gone
+        self._overdue = overdue
+        self._end_ns: int | None = None  # monotonic: the process ends then, whatever the client's deadline
         self.reply: Callable[[Answer], None] | None = reply  # None: answered, or nobody waits
         self.attempts: list[Attempt] = []
         self._backstop: asyncio.TimerHandle | None = None
@@ -62,10 +68,30 @@
         self.reply, self.streaming = None, False
         self.drop_backstop()
 
-    def set_backstop(self, overdue: Callable[[], None]) -> None:
-        """`overdue` is called at the last moment of the client's time, unless it is answered by then."""
-        left_s = max(0, self.call.left_ns - BACKSTOP_NS) / 1e9
-        self._backstop = asyncio.get_running_loop().call_later(left_s, overdue)
+    def set_backstop(self) -> None:
+        """From now the request has the time that its client gave it."""
+        due_ns = time.monotonic_ns() + self.call.left_ns
+        if self._end_ns is not None:
+            due_ns = min(due_ns, self._end_ns)
+        self._arm_backstop(due_ns)
+
+    def _arm_backstop(self, due_ns: int) -> None:
+        at_s = (due_ns - BACKSTOP_NS) / 1e9
+        self._backstop = asyncio.get_running_loop().call_at(at_s, self._overdue)
+
+    def cap(self, end_ns: int) -> None:
+        """The process ends: the request and its attempts have no longer than until `end_ns`, monotonic."""
+        self._end_ns = end_ns
+        self.deadline_ns = min(self.deadline_ns, end_ns - ANSWER_RESERVE_NS)
+        for attempt in self.attempts:
+            self.cap_attempt(attempt)
+        if self._backstop and not self._backstop.cancelled() and self._backstop.when() > end_ns / 1e9:
+            self.drop_backstop()
+            self._arm_backstop(end_ns)
+
+    def cap_attempt(self, attempt: Attempt) -> None:
+        if self._end_ns is not None:
+            attempt.cap(self._end_ns - ANSWER_RESERVE_NS)
 
     def drop_backstop(self) -> None:
         if self._backstop:
--- a/anisespool/front/client.py
+++ b/anisespool/front/client.py
@@ -10,6 +10,7 @@
 from anisespool import http1
 from anisespool.front.conversation import Conversation
 from anisespool.front.place import Place
+from anisespool.front.shutdown import Stage
 
 
 class ClientConnection(Conversation):
@@ -28,14 +29,18 @@
         super().connection_lost(exc)
 
     @property
-    def state(self) -> str:
+    def stage(self) -> Stage:
+        if self._outlet.at_length and not self._closing:
+            return Stage.ANSWERING_AT_LENGTH
         if self._closing:
-            return "closing"
-        if self._busy:
-            return "answering at length" if self._outlet.at_length else "busy"
+            return Stage.CLOSING
+        if self._uploading:
+            return Stage.UPLOADING
+        if self.owed:
+            return Stage.BUSY
         if self._parser.partial:
-            return "half-written"
-        return "between requests" if self._served else "silent"
+            return Stage.HALF_WRITTEN
+        return Stage.BETWEEN_REQUESTS if self._served else Stage.SILENT
 
     def close_if_idle(self) -> None:
         if self.idle and self._transport and not self.has_unread():
@@ -75,11 +80,25 @@
 
     def end_wait(self) -> None:
         """It has had its time for a request, or the rest of one."""
-        if self._parser.partial:
+        if self._uploading:
+            self._end_upload(HTTPStatus.REQUEST_TIMEOUT)
+        elif self._parser.partial:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.close_if_idle()
 
+    def end_stage(self, stage: Stage) -> None:
+        """A shutdown leaves no more time for this stage. Requests that were read are answered by now, so what
+        is unsent has a client that does not read."""
+        if stage is Stage.ANSWERING_AT_LENGTH:
+            self._outlet.reset()
+        elif stage in (Stage.BUSY, Stage.CLOSING):
+            self._closing = True
+            if self._transport:
+                self._transport.abort()
+        else:
+            self.end_wait()
+
     def end_if_late(self, now: float) -> None:
         """The client has had its time to send, or to read."""
         if not self._transport or self._transport.is_closing() and not self._waits.left:
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -31,6 +31,7 @@
         self._parser = http1.RequestParser(self._hold, self._read_on)
         self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
         self._busy = self._closing = self._served = False
+        self._turned_away = False  # there was no place for it
         self._request: http1.Request | None = None  # the present one
         self._current = 0  # its number, once the driver has it and has not answered
         self._waits = Waits()
@@ -152,8 +153,8 @@
         if request.target.partition(b"?")[0] == b"/healthz":
             self._answer(Answer(200 if self._server.sidecar.ready else 503))
             return
-        if self._server.crowded:
-            self._request = request._replace(keep_alive=False)
+        if self._turned_away or self._server.crowded:
+            self._turned_away = True
             self._answer(Answer(503, b"too many connections\n", self._server.retry_after_s()))
             return
         try:
@@ -183,8 +184,7 @@
                 answer.flow.drop()
             return
         request = self._request
-        more = bool(self._queue) or self._parser.partial  # Danger: sent ahead, it would be lost with a close
-        close = not request.keep_alive or self._server.stopping and not more
+        close = not request.keep_alive or self._is_last()
         if answer.flow:
             self._answer_at_length(request, answer.flow, close)
             return
@@ -195,6 +195,11 @@
         )  # fmt: skip
         self._done(data, close)
 
+    def _is_last(self) -> bool:
+        """The connection ends with this answer: not while more was sent ahead, which a close would lose."""
+        ends = self._server.stopping or self._turned_away
+        return ends and not (self._queue or self._parser.partial or self.has_unread())
+
     def _answer_at_length(self, request: http1.Request, flow: Flow, close: bool) -> None:
         chunked = request.version == "1.1"
         keep_alive = not close and (chunked or flow.length is not None)
--- a/anisespool/front/place.py
+++ b/anisespool/front/place.py
@@ -20,10 +20,12 @@
     sidecar: Sidecar
     names: Names
     settings: Settings
-    stopping: bool
     long_answers: set[Conversation]
     paused: Paused
 
+    @property
+    def stopping(self) -> bool: ...
+
     @property
     def crowded(self) -> bool: ...
 
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -12,18 +12,19 @@
 from operator import itemgetter
 
 from anisespool.config import Address, Names
-from anisespool.errors import NoDescriptors
+from anisespool.errors import NoDescriptors, NoRoomForClients
 from anisespool.front.client import ClientConnection
 from anisespool.front.conversation import Conversation
 from anisespool.front.listener import inherited_listener, open_listener
 from anisespool.front.outlet import HIGH
 from anisespool.front.reading import Paused
+from anisespool.front.shutdown import Shutdown, Stage
 from anisespool.log import fault
 from anisespool.sidecar import Sidecar
 from shuntlead import Settings
 
 BACKLOG = 512
-HALF_WRITTEN_S = 1.0  # after the listener has closed
+SHUTDOWN_LOOK_S = 0.01  # between two looks at the connections in a shutdown
 ACCEPTED_AT_ONCE = 8
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 SWEEP_S = 0.25
@@ -43,7 +44,7 @@
         self.long_answers: set[Conversation] = set()
         self.connections: set[ClientConnection] = set()
         self.paused = Paused()
-        self.stopping = False
+        self._shutdown: Shutdown | None = None
         self._most = most
         self._listener: socket.socket | None = None
         self._shares_listener = False  # with another process: what waits in its queue is not ours to take
@@ -51,6 +52,11 @@
         self._order: list[tuple[float, ClientConnection]] = []  # who makes room, the first last
         self._ordered_at = -ORDER_S
 
+    @property
+    def stopping(self) -> bool:
+        """A planned shutdown is under way: a connection closes once nothing more was sent ahead on it."""
+        return self._shutdown is not None
+
     @property
     def crowded(self) -> bool:
         """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
@@ -107,7 +113,7 @@
 
     def census(self) -> str:
         """For the log: what the clients' connections are at."""
-        states = Counter(connection.state for connection in self.connections)
+        states = Counter(connection.stage for connection in self.connections)
         return f"{len(self.connections)} clients ({', '.join(f'{n} {s}' for s, n in sorted(states.items()))})"
 
     def listen(self, address: Address) -> Address:
@@ -154,46 +160,44 @@
         with suppress(OSError):  # it may be reset by now
             await loop.connect_accepted_socket(lambda: ClientConnection(self), connected)
 
-    async def stop(self, accept_s: float) -> None:
-        """A planned restart: go on accepting for a while, then answer what was taken, and end."""
-        self.stopping = True
-        loop = asyncio.get_running_loop()
-        if self._shares_listener:
-            # The other process takes all that comes from now on. Danger: a request may be on its way on any
-            # idle connection. Most clients bring their next one within this time, and go on its answer.
+    async def stop(self, shutdown: Shutdown) -> None:
+        """Run the shutdown: accept for a while, then end each connection when its stage allows. Every request
+        that is read meanwhile is answered, as the driver caps deadlines by the same schedule."""
+        self._shutdown = shutdown
+        if self._shares_listener:  # what waits in its queue is for the other process
             self._end_listener()
-            until = loop.time() + accept_s
-            while (self.connections or self._accepting) and loop.time() < until:
-                await asyncio.sleep(0.01)
-        else:
-            # Clients use a connection for as long as it is open: closed now, they still find the listener.
-            self._close_idle()
-            await asyncio.sleep(accept_s)
-            # Danger: closing resets what still waits in the listener's queue.
-            while self._listener and select.select([self._listener], [], [], 0)[0]:
-                self._accept()
-                await asyncio.sleep(0.001)
-            self._end_listener()
-        if self._accepting:
-            await asyncio.wait(self._accepting)
-        # A request may be on its way in on any of those; a half-written one gets no longer than this.
-        half_written = loop.time() + HALF_WRITTEN_S
-        await asyncio.sleep(0.02)
-        while any(
-            c.owed or (c.has_unread() if c.idle else loop.time() < half_written) for c in self.connections
-        ):
-            await asyncio.sleep(0.01)
-        # Danger: a request that is whole only from now on would be sent on, and lost with this process.
+        while time.monotonic_ns() < shutdown.accept_until_ns:
+            self._end_stages(shutdown)
+            if self._shares_listener and not (self.connections or self._accepting):
+                return
+            await asyncio.sleep(SHUTDOWN_LOOK_S)
+        await self._empty_listener_queue(shutdown)
+        self._end_listener()
+        while (self.connections or self._accepting) and time.monotonic_ns() < shutdown.ends_by_ns:
+            self._end_stages(shutdown)
+            await asyncio.sleep(SHUTDOWN_LOOK_S)
+
+    def _end_stages(self, shutdown: Shutdown) -> None:
+        now_ns = time.monotonic_ns()
         for connection in list(self.connections):
-            connection.end_wait()
-        await asyncio.sleep(0)
+            stage = connection.stage
+            if now_ns >= shutdown.stays_until_ns(stage):
+                if stage in (Stage.BUSY, Stage.ANSWERING_AT_LENGTH):
+                    fault("server", NoRoomForClients(f"ended with a connection {stage}"))
+                connection.end_stage(stage)
+
+    async def _empty_listener_queue(self, shutdown: Shutdown) -> None:
+        """Closing the listener resets the connections that still wait in its queue."""
+        while (
+            self._listener
+            and select.select([self._listener], [], [], 0)[0]
+            and time.monotonic_ns() < shutdown.queue_until_ns
+        ):
+            self._accept()
+            await asyncio.sleep(0.001)
 
     def _end_listener(self) -> None:
         if self._listener:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
             self._listener = None
-
-    def _close_idle(self) -> None:
-        for connection in list(self.connections):
-            connection.close_if_idle()
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -4,19 +4,21 @@
 
 import asyncio
 import gc
+import time
 from collections.abc import Callable
 
 from anisespool.admin import Admin
 from anisespool.config import Address, Config
 from anisespool.discovery.watch import Watch
 from anisespool.endpoints import Endpoints
-from anisespool.errors import ConfigError, NoRoomForClients
+from anisespool.errors import ConfigError
 from anisespool.fleet.beside import BesideRates
 from anisespool.fleet.shared import FleetState
 from anisespool.front.listener import open_listener
 from anisespool.front.server import Server
+from anisespool.front.shutdown import Shutdown
 from anisespool.limits import log_resources, shares
-from anisespool.log import fault, say
+from anisespool.log import say
 from anisespool.maintenance import Maintenance
 from anisespool.operators import Operators
 from anisespool.pair import Pair
@@ -27,8 +29,6 @@
 from anisespool.state.warm import WarmStart
 from shuntlead.interface import Effect, RosterForm
 
-ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
-LAST_S = 0.5  # past the longest deadline of what was taken till then: nothing can still be in time
 BUFFERS_PART = 8  # of the memory, for long bodies on their way
 LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
 PUSHED_WAIT_S = 1.0  # for what the agent has: it counts as told from a process's first moment
@@ -122,10 +122,12 @@
         self._operators.serving = True
         gc.freeze()  # what start-up made stays for good: no collection need look at it
         await stop.wait()
+        shutdown = self._plan_shutdown()
         self._operators.stopping = True
         if self._sidecar.peers:
             self._sidecar.peers.close()  # a new process waits for the address
-        await self._end()
+        self._sidecar.end_by(shutdown.answer_by_ns)
+        await self._server.stop(shutdown)
         for task in tasks:
             task.cancel()
         self._admin.close()
@@ -165,10 +167,6 @@
         for wait in waits:
             wait.cancel()
 
-    async def _end(self) -> None:
-        longest_s = max(c.deadline_ns for c in self._config.settings.classes) / 1e9
-        try:
-            async with asyncio.timeout(ACCEPT_S + longest_s + LAST_S):
-                await self._server.stop(ACCEPT_S)
-        except TimeoutError:
-            fault("server", NoRoomForClients("ended with connections still in use"))
+    def _plan_shutdown(self) -> Shutdown:
+        longest_ns = max(c.deadline_ns for c in self._config.settings.classes)
+        return Shutdown(time.monotonic_ns(), longest_ns, self._config.inherited_fd is not None)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -5,13 +5,12 @@
 
 import asyncio
 import time
-import traceback
-from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 
 from anisespool.config import Config, MemberList
+from anisespool.decisions import Decisions
 from anisespool.endpoints import Attempt, Endpoints
-from anisespool.exchange import Answer, Call, Exchange, Exchanges
+from anisespool.exchange import ANSWER_RESERVE_NS, Answer, Call, Exchange, Exchanges
 from anisespool.log import say
 from anisespool.outside import Outside
 from anisespool.peers import Peers
@@ -21,9 +20,6 @@
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
 
-ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
-QUIET_S = 1.0  # between two tracebacks in the log
-
 
 class Sidecar:
     def __init__(
@@ -31,16 +27,14 @@
     ) -> None:
         """`orders`: what the operators have said of servers, kept up to date by its owner."""
         self.servers = Servers({} if orders is None else orders, config.names.epoch_ns)
-        self._balancer = Balancer(config.settings, config.seed)
+        self.decisions = Decisions(Balancer(config.settings, config.seed), self._handled, self._give_up)
         self._endpoints = endpoints
         self._exchanges = Exchanges()
         self._next_request = 0
-        self._events: deque[api.Event] = deque()
-        self._handling = False
-        self._complained_at = 0.0
+        self._end_ns: int | None = None  # monotonic: the last moment for answers, once a shutdown is planned
         self.outside = Outside(self.servers, self._handle)
         self.peers = self.outside.peers = Peers(config.peers, self.outside.heard) if config.peers else None
-        self._actions: dict[type, Callable[..., None]] = {
+        self.decisions.actions = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Log: self._log, api.Fault: self._log,
             api.CloseIdle: self._close_idle, **self.outside.actions}  # fmt: skip
@@ -65,8 +59,11 @@
         self._next_request += 1
         request_id, now = self._next_request, time.monotonic_ns()
         left_ns = max(0, call.left_ns - ANSWER_RESERVE_NS)
-        exchange = self._exchanges[request_id] = Exchange(call, now + left_ns, reply, is_gone)
-        exchange.set_backstop(lambda: self._overdue(request_id))
+        exchange = Exchange(call, now + left_ns, reply, is_gone, lambda: self._overdue(request_id))
+        self._exchanges[request_id] = exchange
+        if self._end_ns is not None:
+            exchange.cap(self._end_ns)
+        exchange.set_backstop()
         event = api.Request(
             request_id, call.cls, left_ns, call.hint_ns, call.key, call.tenant, call.is_retry,
             has_long_body=call.request.flow is not None, dedup_key=call.dedup_key,
@@ -81,6 +78,13 @@
             self._handle(api.ClientGone(request_id))
             self._exchanges.abandon(request_id)
 
+    def end_by(self, end_ns: int) -> None:
+        """The process ends: every request, taken or yet to come, is answered by `end_ns`, monotonic."""
+        self._end_ns = end_ns
+        for exchange in self._exchanges.values():
+            exchange.cap(end_ns)
+        self._handle(api.Ending(max(0, end_ns - ANSWER_RESERVE_NS - time.monotonic_ns())))
+
     # From discovery -------------------------------------------------------------------------------
 
     def listed(self, update: MemberList, form: RosterForm | None = None) -> None:
@@ -88,13 +92,9 @@
         Danger: that ends attempts, and the module would place them anew by the list it had before; so it
         hears of the list ahead of them."""
         form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
-        self._handling = True
-        try:
+        with self.decisions.held():
             rows = self._apply(update, form)
-        finally:
-            self._handling = False
-        self._events.appendleft(api.Roster(update.revision, form, rows))
-        self._drain()
+        self.decisions.handle_first(api.Roster(update.revision, form, rows))
 
     def _apply(self, update: MemberList, form: RosterForm) -> tuple[api.Listed, ...]:
         rows, gone = self.servers.apply(update, form)
@@ -116,42 +116,12 @@
     # The module -----------------------------------------------------------------------------------
 
     def _handle(self, event: api.Event) -> None:
-        """One event at a time: an action may end an attempt at once, and that event waits its turn."""
-        self._events.append(event)
-        if not self._handling:
-            self._drain()
-
-    def _drain(self) -> None:
-        self._handling = True
-        try:
-            while self._events:
-                self._one(self._events.popleft())
-        finally:
-            self._handling = False
-
-    def _one(self, event: api.Event) -> None:
-        try:
-            actions = self._balancer.handle(time.monotonic_ns(), event)
-        except Exception:
-            # Danger: the module's fault must cost one request, not all that are open.
-            self._complain()
-            if isinstance(event, api.Request | api.Outcome | api.ClientGone):
-                self._give_up(event.request)
-            if isinstance(event, api.Request | api.Outcome):
-                self._events.append(api.ClientGone(event.request))
-            return
-        for action in actions:
-            perform = self._actions.get(type(action))
-            if perform:  # else the settings forbid it, or the watch does it unasked
-                perform(action)
+        self.decisions.handle(event)
+
+    def _handled(self, event: api.Event) -> None:
         if isinstance(event, api.Outcome | api.ClientGone):
             self._exchanges.forget(event.request)
 
-    def _complain(self) -> None:
-        if time.monotonic() >= self._complained_at + QUIET_S:
-            self._complained_at = time.monotonic()
-            traceback.print_exc()
-
     # Its actions ----------------------------------------------------------------------------------
 
     def _send(self, action: api.Send) -> None:
@@ -165,6 +135,7 @@
         attempt = Attempt(action.request, len(exchange.attempts), action.endpoint, exchange.call.request,
                           deadline, self._ended, self._began, self._body_moved, self._stays)  # fmt: skip
         exchange.attempts.append(attempt)
+        exchange.cap_attempt(attempt)
         if self._stays(attempt):
             self._endpoints.send(attempt)
 
@@ -181,7 +152,7 @@
         exchange = self._exchanges[attempt.request_id]
         exchange.drop_backstop()
         if attempt.started_ns and exchange.reply:
-            exchange.set_backstop(lambda: self._overdue(attempt.request_id))
+            exchange.set_backstop()
         self._handle(api.BodyMoved(attempt.request_id, attempt.number, attempt.started_ns > 0))
 
     def _began(self, attempt: Attempt) -> None:
--- a/shuntlead/interface/events.py
+++ b/shuntlead/interface/events.py
@@ -69,6 +69,12 @@
     request: int
 
 
+class Ending(NamedTuple):
+    """The process ends: each request, open or yet to come, has its final answer within `left_ns`."""
+
+    left_ns: int
+
+
 class Timer(NamedTuple):
     token: int
 
@@ -175,5 +181,5 @@
 
 Event = Union[
     Roster, Request, BodyMoved, FirstByte, Outcome, ClientGone, Timer, ProbeResult, PeerMessage,
-    PeerVerdicts, PeerRoster, PeerAsked, Recall, TakeSnapshot, TenantReports, Beside, TakeReports,
+    PeerVerdicts, PeerRoster, PeerAsked, Recall, TakeSnapshot, TenantReports, Beside, TakeReports, Ending,
 ]  # fmt: skip
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -41,6 +41,7 @@
         self.tenants = Tenants(desk, self.shedding, self.members)
         self.pending: dict[int, Pending] = {}
         self.open = 0  # requests not yet answered
+        self.end: int | None = None  # when the process ends, once that is known
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Request: self._on_request, api.Outcome: self._on_outcome, api.Roster: self._on_roster,
             api.Timer: self._on_timer, api.ClientGone: self._on_client, api.FirstByte: self._on_first_byte,
@@ -49,7 +50,7 @@
             api.PeerRoster: self.members.hear_roster, api.PeerAsked: self.talk.asked,
             api.Recall: self._on_recall, api.TakeSnapshot: lambda event: self.talk.remember(),
             api.TenantReports: self.tenants.hear, api.Beside: self.tenants.hear_beside,
-            api.TakeReports: self.tenants.share}  # fmt: skip
+            api.TakeReports: self.tenants.share, api.Ending: self._on_ending}  # fmt: skip
 
     @property
     def endpoints(self) -> dict[int, Endpoint]:
@@ -92,6 +93,8 @@
     def _on_request(self, event: api.Request) -> None:
         cls, now = self.settings.classes[event.cls], self.desk.now
         req = self.pending[event.request] = Pending(event, cls, now, self.retries.waited(event, cls))
+        if self.end is not None:
+            req.cap(self.end)
         self.open += 1
         self.choice.asked.add(now)
         self.shedding.asked(event.tenant)
@@ -109,7 +112,7 @@
         left = req.limit - desk.now - int(ahead * usual) - rest
         if self.tenants.is_over(req):
             self._end(req, over_quota=True)
-        elif left <= 0 or not req.attempts and self.shedding.too_busy(req, self.open, self.pending.values()):
+        elif left <= 0 or not req.attempts and self._is_shed(req):
             self._end(req)
         elif ahead or rest:
             desk.set_timer("hold", left if ahead else rest, req.id)
@@ -121,6 +124,10 @@
             desk.log("held", f"none of {len(self.members.ready)} ready endpoints may be sent to")
             desk.set_timer("hold", min(req.cls.target_ns // HOLD_TRIES, req.hold_until - desk.now), req.id)
 
+    def _is_shed(self, req: Pending) -> bool:
+        """It would be late, as the process ends or the servers are too busy; nothing has been sent yet."""
+        return not req.has_room() or self.shedding.too_busy(req, self.open, self.pending.values())
+
     def _send(self, req: Pending, endpoint: Endpoint, usual: float) -> None:
         now, limit = self.desk.now, req.give_up if req.cls.stream else req.limit
         if not self.shedding.is_swamped(endpoint) and (early := self.retries.patience(req, usual)):
@@ -158,6 +165,12 @@
         if not req.done:  # else it is no longer among the open
             self.open -= change
 
+    def _on_ending(self, event: api.Ending) -> None:
+        """Those under way go on, within the time that is left."""
+        self.end = self.desk.now + event.left_ns
+        for req in self.pending.values():
+            req.cap(self.end)
+
     def _on_client(self, event: api.ClientGone) -> None:
         req = self.pending.get(event.request)
         if req and not req.done:
@@ -173,7 +186,7 @@
             attempt.moving_since, attempt.sent = now, 0
         elif attempt.moving_since:
             took, attempt.sent, attempt.moving_since = now - attempt.moving_since, now, 0
-            req.aim, req.limit, req.give_up = req.aim + took, req.limit + took, req.give_up + took
+            req.extend(took)
         self._set_passing(req, attempt, attempt.begun or not event.whole)
 
     def _on_first_byte(self, event: api.FirstByte) -> None:
--- a/shuntlead/records.py
+++ b/shuntlead/records.py
@@ -51,8 +51,8 @@
 
 
 class Pending:  # a request from its arrival until its last attempt has ended
-    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "hold_until", "id", "key", "limit",
-                 "streaming")  # fmt: skip
+    __slots__ = ("aim", "attempts", "cls", "done", "end", "event", "give_up", "hold_until", "id", "key",
+                 "limit", "streaming")  # fmt: skip
 
     def __init__(self, event: api.Request, cls: api.RequestClass, now: int, waited: int) -> None:
         self.id, self.event, self.cls = event.request, event, cls
@@ -62,8 +62,25 @@
         self.key = event.key if cls.in_order else 0  # not 0: it takes turns with others of the key
         self.hold_until = now + int(HOLD_SHARE * event.left_ns)  # with no endpoint that it may be sent to
         self.attempts: list[Attempt] = []
+        self.end: int | None = None  # the process ends then
         self.done = self.streaming = False  # streaming: bytes of a long body are gone, this way or that
 
+    def cap(self, end: int) -> None:
+        """The process ends at `end`: no later deadline holds."""
+        self.end = end
+        self.limit, self.give_up = min(self.limit, end), min(self.give_up, end)
+        self.hold_until = min(self.hold_until, end)
+
+    def extend(self, took: int) -> None:
+        """Its body took so long to pass through, which is no wait for an answer."""
+        self.aim, self.limit, self.give_up = self.aim + took, self.limit + took, self.give_up + took
+        if self.end is not None:
+            self.cap(self.end)
+
+    def has_room(self) -> bool:
+        """Whether a process that ends leaves it the time that its class wants."""
+        return self.end is None or self.aim <= self.end
+
     def risky(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
 
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,134 @@
+"""The schedule of a shutdown, what the decision module makes of it, and bodies and crowds within it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from time import monotonic
+
+import pytest
+
+from anisespool.config import Address, load
+from anisespool.front.server import Server
+from anisespool.front.shutdown import Shutdown, Stage
+from shuntlead import interface as api
+from shuntlead.interface import Status
+from tests.net import Endpoint, held_until, raw_call, read_response, until, write_config
+from tests.planned_end import classes_with, end_now, sidecar
+from tests.support import MS, SECOND, Sidecar, finals, listed, sends
+from tests.test_driver import driven, send_once
+from tests.test_endpoints import say_nothing
+from tests.test_long import Reading
+from tests.test_upgrade import upgrade
+
+
+@pytest.mark.parametrize("longest_ns", [0, 100 * MS, 800 * MS, 3 * SECOND, 8 * SECOND])
+@pytest.mark.parametrize("is_shared", [False, True])
+def test_the_moments_of_a_shutdown_are_in_order_and_end_before_the_kill(
+    longest_ns: int, is_shared: bool
+) -> None:
+    plan = Shutdown(5 * SECOND, longest_ns, is_shared)
+    assert plan.kill_ns == 5 * SECOND + min(longest_ns, 3 * SECOND) + 700 * MS
+    assert 5 * SECOND < plan.accept_until_ns <= plan.answer_by_ns < plan.close_by_ns
+    assert plan.close_by_ns + 200 * MS <= plan.kill_ns  # two stalls of 0.15 s, of the signal and of a timer
+    for stage in set(Stage) - {Stage.ANSWERING_AT_LENGTH}:
+        assert plan.stays_until_ns(stage) <= plan.close_by_ns
+    assert plan.stays_until_ns(Stage.ANSWERING_AT_LENGTH) >= plan.close_by_ns
+
+
+def test_what_is_open_as_the_process_ends_is_answered_by_then() -> None:
+    """A further attempt has no more time than the first."""
+    car = Sidecar([listed(1), listed(2)], request_classes=classes_with(5.0))
+    [send] = sends(car.request(0, left_ns=5 * SECOND))
+    car.balancer.handle(car.now, api.Ending(SECOND))
+    car.now += 400 * MS
+    [again] = sends(car.outcome(send, Status.RESET, finished=False))
+    assert again.timeout_ns in (0, 600 * MS) or again.timeout_ns < 600 * MS
+    car.now += 600 * MS
+    assert len(finals(car.outcome(again, Status.TIMEOUT, attempt=1, finished=False))) == 1
+
+
+def test_what_comes_as_the_process_ends_goes_on_with_what_is_left_or_is_refused_at_once() -> None:
+    car = Sidecar([listed(1), listed(2)], request_classes=classes_with(5.0, target_s=0.3))
+    car.balancer.handle(car.now, api.Ending(SECOND))
+    assert len(sends(car.request(2, left_ns=5 * SECOND))) == 1
+    car.now += 750 * MS  # 0.25 s are left, and its class aims at 0.3 s
+    assert [type(a) for a in car.request(2, left_ns=5 * SECOND)] == [api.Refuse]
+    assert len(sends(car.request(2, left_ns=200 * MS))) == 1  # its client waits no longer anyway
+
+
+async def test_a_long_body_that_is_still_coming_at_the_end_is_answered_before_the_kill(
+    tmp_path: Path,
+) -> None:
+    """It was never whole, so it has not run."""
+    async with Reading().serve() as server:
+        end = await sidecar(tmp_path, 1.0, server)
+        reader, writer = await asyncio.open_connection(*end.address)
+        writer.write(raw_call("once", "upload", 1000, body=bytes(200_000))[:-100_000])
+        await until(lambda: bool(server.connections))
+        end.terminate()
+        async with asyncio.timeout_at(asyncio.get_running_loop().time() + 1.7):
+            answer = await read_response(reader)
+        assert answer.status == 408 and monotonic() < end.kill_at
+        assert await end.over() == 0 and not server.bodies
+        writer.close()
+
+
+async def test_a_long_body_that_is_whole_late_has_its_answer_before_the_kill(tmp_path: Path) -> None:
+    class Hanging(Reading):
+        async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.connections.append((reader, writer))
+            while await reader.read(65536):
+                pass
+
+    async with Hanging().serve() as server:
+        end = await sidecar(tmp_path, 1.0, server)
+        streams = await asyncio.open_connection(*end.address)
+        data = raw_call("once", "upload", 1000, body=bytes(200_000))
+        streams[1].write(data[:-1])
+        await until(lambda: bool(server.connections))
+        end.terminate()
+        await end.at(0.9)
+        late = await end.request(streams, "upload", data[-1:])
+        assert (late.status, await end.over()) == (502, 0)
+
+
+async def test_with_an_inherited_listener_a_late_request_is_answered_before_the_kill(tmp_path: Path) -> None:
+    """Idle connections stay for a while there, as another process has the listener."""
+    async with (
+        Endpoint(held_until(asyncio.Event())).serve() as server,
+        upgrade(tmp_path, server, request_classes=classes_with(1.0)) as it,
+    ):
+        process, _ = await it.start()
+        reader, writer = await asyncio.open_connection(*it.address)
+        writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await read_response(reader)).keep_alive
+        owed, asking = await asyncio.open_connection(*it.address)
+        asking.write(raw_call("once", "owed", 1000))
+        await until(lambda: len(server.requests) == 1)
+        began = monotonic()
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(1.7):
+            assert await reader.read() == b""  # nothing came on it
+            assert monotonic() < began + 0.8
+            assert (await read_response(owed)).status == 502
+            assert await process.wait() == 0
+        asking.close()
+
+
+async def test_all_that_a_client_without_a_place_sent_ahead_is_answered(tmp_path: Path) -> None:
+    """A close with the first answer would lose what was read behind it."""
+    async with Endpoint(say_nothing).serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        config = load(write_config(tmp_path, endpoint.address, []))
+        listener = Server(it.sidecar, config.names, config.settings, 1)
+        address = listener.listen(Address("127.0.0.1", 0))
+        _, busy = await asyncio.open_connection(*address)
+        busy.write(raw_call(left_ms=15_000))
+        await until(lambda: len(endpoint.requests) == 1)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"".join(raw_call("once", f"t{n}") for n in range(3)))
+        answers = await reader.read()  # up to the end
+        assert answers.count(b"HTTP/1.1 503") == 3 and answers.count(b"Connection: close") == 1
+        busy.close()
+        await listener.stop(end_now())
