Queue no request behind bytes that a server has not taken

Root cause: Connection.fresh() asked only whether anything had come to be read. An endpoint that answers before it has read a request's body leaves the rest in our kernel's send queue; the transport has no more of it, so the connection counted as idle and took the next request. That request began only when the endpoint read on, past the drain grace too, and timed out meanwhile.

Change: a connection with bytes that the peer's kernel has not acknowledged (TIOCOUTQ) carries no other request. An answer acknowledges all that its server had received, so ordinary connections are kept as before (tests/test_connections.py).

--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import time
 from typing import Protocol
 
 from anisespool import http1
 from anisespool.endpoints.attempt import Attempt
+from anisespool.endpoints.kernel import has_input, unacknowledged
 from anisespool.endpoints.pool import Pool
 from anisespool.flow import Flow, read_buffer
 from shuntlead.interface import Status
@@ -64,14 +64,15 @@
             self._upload.go()
 
     def fresh(self) -> bool:
-        """Danger: an idle connection may have been closed by the endpoint a moment ago, with the news still
-        unread in the kernel. A request written to it would end as a reset, which proves nothing."""
+        """Whether a request may be written to it. An idle connection may have been closed by the endpoint a
+        moment ago, with the news still unread in the kernel: a request would end as a reset, which proves
+        nothing. And behind bytes of an earlier request that the endpoint has not taken, as it answered early,
+        a request would begin only when the endpoint reads on, even if it drains by then."""
         assert self._transport
         if self._transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        return not has_input(descriptor) and not unacknowledged(descriptor)
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
--- /dev/null
+++ b/anisespool/endpoints/kernel.py
@@ -0,0 +1,20 @@
+"""What the kernel holds of a TCP connection, either way. Descriptors in, counts of bytes out."""
+
+from __future__ import annotations
+
+import fcntl
+import select
+import sys
+import termios
+
+
+def has_input(descriptor: int) -> bool:
+    """Bytes or an end have come that nobody has read."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def unacknowledged(descriptor: int) -> int:
+    """Bytes written to it that its peer's kernel has not taken."""
+    return int.from_bytes(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
--- a/tests/net.py
+++ b/tests/net.py
@@ -209,7 +209,7 @@
 
 @asynccontextmanager
 async def world(
-    folder: Path, *endpoints: Endpoint, admin: bool = False, **changes: Any
+    folder: Path, *endpoints: Peer, admin: bool = False, **changes: Any
 ) -> AsyncIterator[World]:
     async with Discovery().serve() as discovery:
         known = [member(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
