Begin no attempt whose time is over

Root cause: Endpoints._start wrote max(1, ...) ms and never asked whether any time was left. An attempt's timer runs in the loop's next turn, so where the process stood still between the decision, or the end of a handshake, and the write, the request went out after its client's time.

Change: with less than a whole millisecond left the attempt ends as moot (it never ran, and says nothing about its server), and the connection is kept. The decisions then answer the client.

Tests: test_an_attempt_whose_time_is_over_does_not_begin failed before (the server received 'late'), and so did test_an_attempt_whose_connection_comes_up_too_late_does_not_begin. Held requests and further attempts were told no more than was left before as well: ruled out.

--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -137,7 +137,12 @@
             self.release(connection, pool)
 
     def _start(self, connection: Idle, pool: Pool, attempt: Attempt) -> None:
-        left_ms = max(1, (attempt.deadline_ns - time.monotonic_ns()) // 1_000_000)
+        """Write the request, unless its time is over: nobody would wait for the answer."""
+        left_ms = (attempt.deadline_ns - time.monotonic_ns()) // 1_000_000
+        if left_ms < 1:  # its timer has not run yet, as this process stood still
+            self.release(connection, pool)
+            attempt.end(Status.MOOT)
+            return
         headers = {
             name: attempt.request.headers[key]
             for key, name in FORWARDED.items()
