Classify errno in one place, and let no failed accept delay those behind it

Root cause: the client listener (front/server.py, _accept) and the operators' (admin.py, _accept) knew EAGAIN and ConnectionError; every other errno counted as "no descriptor left". By accept(2), ENETDOWN, EPROTO, ENOPROTOOPT, EHOSTDOWN, ENONET, EHOSTUNREACH, EOPNOTSUPP and ENETUNREACH are pending errors of the one new connection: they cost all others a pause and a misleading line (raise limits.sockets). ECONNABORTED ended the turn's batch. With descriptors really short the clients' listener made no room, and wrote a line for each try (20 a second). setblocking failing raised out of the reader's callback.

A connection that cannot be set up is closed explicitly.

Ruled out: that a failed accept ends the drain of the queue at a planned end (it went on before too).

--- a/anisespool/front/listener.py
+++ b/anisespool/front/listener.py
@@ -1,10 +1,18 @@
-"""Listening sockets, our own and inherited ones."""
+"""Listening sockets, our own and inherited ones, and what to do where accept(2) fails."""
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
+from collections.abc import Callable
+from math import inf
 
 from anisespool.config import Address
+from anisespool.errors.system import SystemFailure, classify, concerns_one_peer, described
+from anisespool.log import fault
+
+QUIET_S = 0.5  # between two lines of the log on failed accepts
 
 
 def open_listener(address: Address, backlog: int) -> socket.socket:
@@ -29,3 +37,61 @@
         raise OSError(f"descriptor {descriptor} is no listening TCP socket")
     listener.setblocking(False)
     return listener
+
+
+class Acceptor:
+    """Owns the reader of one listener: who comes is accepted, and whatever accept(2) fails with, the listener
+    is watched again, at once or after a pause."""
+
+    def __init__(
+        self, topic: str, listener: socket.socket, pause_s: float, make_room: Callable[[], object],
+        serve: Callable[[socket.socket], object], at_once: int,
+    ) -> None:  # fmt: skip
+        """`topic`: of the log. `make_room` frees a descriptor. `serve` owns the connection it is given.
+        `at_once`: connections accepted in one turn of the loop at most."""
+        self._topic, self._listener, self._pause_s = topic, listener, pause_s
+        self._make_room, self._serve, self._at_once = make_room, serve, at_once
+        self._logged_at = -inf
+        self._resume: asyncio.TimerHandle | None = None
+
+    def watch(self) -> None:
+        """Accept whenever somebody comes, until the listener is closed."""
+        self._resume = None
+        if self._listener.fileno() < 0:
+            return
+        try:
+            asyncio.get_running_loop().add_reader(self._listener, self.accept)
+        except OSError as error:  # epoll_ctl(2): ENOMEM, ENOSPC
+            self._pause(error)
+
+    def accept(self) -> None:
+        """Accept those that wait, so many at most. A turn that only fails ends in a pause: an error that
+        takes nothing off the queue would make the loop spin."""
+        last: OSError | None = None
+        accepted = False
+        for _ in range(self._at_once):
+            try:
+                connected, _ = self._listener.accept()
+            except OSError as error:
+                last = error
+                if concerns_one_peer(error):
+                    continue
+                if classify(error) is not SystemFailure.NOTHING_TO_DO:
+                    self._pause(error)
+                return
+            accepted = True
+            self._serve(connected)
+        if last and not accepted:
+            self._pause(last)
+
+    def _pause(self, error: OSError) -> None:
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        if self._resume:
+            self._resume.cancel()
+        self._resume = loop.call_later(self._pause_s, self.watch)
+        if time.monotonic() >= self._logged_at + QUIET_S:
+            self._logged_at = time.monotonic()
+            fault(self._topic, described(error))
+        if classify(error) is SystemFailure.NO_RESOURCES:
+            self._make_room()
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -8,24 +8,21 @@
 import socket
 import time
 from collections import Counter
-from contextlib import suppress
 from operator import itemgetter
 
 from anisespool.config import Address, Names
-from anisespool.errors import NoDescriptors
 from anisespool.front.client import ClientConnection
 from anisespool.front.conversation import Conversation
-from anisespool.front.listener import inherited_listener, open_listener
+from anisespool.front.listener import Acceptor, inherited_listener, open_listener
 from anisespool.front.outlet import HIGH
 from anisespool.front.reading import Paused
-from anisespool.log import fault
 from anisespool.sidecar import Sidecar
 from shuntlead import Settings
 
 BACKLOG = 512
 HALF_WRITTEN_S = 1.0  # after the listener has closed
 ACCEPTED_AT_ONCE = 8
-ACCEPT_PAUSE_S = 0.05  # with no descriptor left
+ACCEPT_PAUSE_S = 0.05  # with no descriptor left, or where accept(2) fails in an unknown way
 SWEEP_S = 0.25
 ORDER_S = 0.05  # that an order of who makes room for newcomers holds
 LOW_SHARE = 4 * 1024  # the least of that, with many long bodies at once
@@ -46,6 +43,7 @@
         self.stopping = False
         self._most = most
         self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None
         self._shares_listener = False  # with another process: what waits in its queue is not ours to take
         self._accepting: set[asyncio.Task[None]] = set()
         self._order: list[tuple[float, ClientConnection]] = []  # who makes room, the first last
@@ -124,35 +122,29 @@
         return Address(*self._listener.getsockname())
 
     def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
-        # Danger: a crowd at the door must not keep the loop from all the others, nor take all descriptors
-        # before those that make room have gone.
-        for _ in range(ACCEPTED_AT_ONCE):
-            if not self._listener:
-                return
-            try:
-                connected, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionError):
-                return
-            except OSError as error:
-                # Danger: with no descriptor left the listener stays readable, and the loop would spin.
-                fault("server", NoDescriptors(str(error)))
-                loop.remove_reader(self._listener)
-                loop.call_later(ACCEPT_PAUSE_S, self._watch_listener)
-                return
-            connected.setblocking(False)
-            task = loop.create_task(self._serve(connected))
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
+        """Danger: a crowd at the door must not keep the loop from all the others, nor take all descriptors
+        before those that make room have gone."""
+        if self._listener and self._acceptor:
+            self._acceptor.accept()
+
+    def _accepted(self, connected: socket.socket) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(connected))
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
 
     def _watch_listener(self) -> None:
         if self._listener:
-            asyncio.get_running_loop().add_reader(self._listener, self._accept)
+            self._acceptor = Acceptor("server", self._listener, ACCEPT_PAUSE_S, self.make_room,
+                                      self._accepted, ACCEPTED_AT_ONCE)  # fmt: skip
+            self._acceptor.watch()
 
     async def _serve(self, connected: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        with suppress(OSError):  # it may be reset by now
+        try:
+            connected.setblocking(False)
             await loop.connect_accepted_socket(lambda: ClientConnection(self), connected)
+        except OSError:  # it has been reset by now
+            connected.close()
 
     async def stop(self, accept_s: float) -> None:
         """A planned restart: go on accepting for a while, then answer what was taken, and end."""
