--- a/anisespool/endpoints/kernel.py
+++ b/anisespool/endpoints/kernel.py
@@ -16,5 +16,9 @@
 
 
 def unacknowledged(descriptor: int) -> int:
-    """Bytes written to it that its peer's kernel has not taken."""
-    return int.from_bytes(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+    """Bytes written to it that its peer's kernel has not taken; 0 where the kernel does not tell."""
+    try:
+        queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(queued, sys.byteorder)
