Cut all waits for a fresh list to one deadline, and let only whole lines count

Nothing owned the 6 s after which a change counts as known. `Watch.run`, `CallClock` and `_Stream._watch` each had spans of their own, which add up past it: - `_Stream._watch` gave a call CALL_S (2.75 s) for its head and SIGN_S + LATE_S (2.5 s) more for its first byte: 5.25 s for one call that is answered and then stops. - `CallClock.ended` and `start_delay` drew up to 2 s, then a call refused after 2 s in the queue, a pause of up to 1.2 s and the next wait of 2 s: 7.2 s. - `move_delay` was drawn anew at each move, whatever was left of the first one's 4 s. - `Watch.came` took any byte of a body for a sign of life and for the word of the new stream: a list that stopped half way or trickled held the watch for good, and the old one's changes were dropped meanwhile.

`FreshListDeadline` holds the one absolute time, set by the event that makes the list old; what a failed call does to it depends on what it showed (`Failure`). `CallClock` cuts each spread, pause and timeout so that a further call with its wait in the queue fits before it; it has a floor after quick failures, so that a fleet whose calls are refused does not call faster. `Stream` is one call; `Watch` holds the one that has brought a whole line, and lets one unfinished call go on beside a further one.

Ruled out: the course after an outage was in time before (tests/test_list_clock.py); order of revisions between two streams stands as it was.

The test of a hung call in tests/test_list_clock.py is as strict in the new terms: it now plays a whole course of hung calls, and refusals after the queue as well.

--- a/anisespool/discovery/lines.py
+++ b/anisespool/discovery/lines.py
@@ -16,6 +16,7 @@
     """Bytes in, whole JSON objects out. Danger: a line that nobody can read must not hide those behind it."""
 
     def __init__(self) -> None:
+        self.signs = 0  # of life so far: whole objects, and empty lines outside of one
         self._skipped: list[str] = []
         self._rest: list[bytes] = []  # of the line that has not ended, as it came
         self._rest_size = 0
@@ -23,26 +24,34 @@
         self._depth = self._size = 0
 
     def feed(self, data: bytes) -> list[dict[str, Any]]:
-        """Each object that is whole now. Raises UnreadableList where one is longer than any list
-        can be: the watch has to be opened anew."""
+        """Each object that is whole now."""
         self._rest.append(data)
         self._rest_size += len(data)
         lines: list[bytes] = []
         if b"\n" in data:  # Danger: joined at each piece, a long list in small ones takes a second of a core
             *lines, rest = b"".join(self._rest).split(b"\n")
             self._rest, self._rest_size = [rest], len(rest)
-        found = [value for line in lines if (value := self._line(line)) is not None]
+        return self._objects(lines)
+
+    def check_size(self) -> None:
+        """Raises UnreadableList where an object is longer than any list can be: the watch has to be opened
+        anew."""
         if self._rest_size + self._size > MOST_BYTES:
             raise UnreadableList(f"an object of over {MOST_BYTES >> 20} MiB")
-        return found
 
     def take_skipped(self) -> list[str]:
         """What could not be read since the last look, and why."""
         skipped, self._skipped = self._skipped, []
         return skipped
 
+    def _objects(self, lines: list[bytes]) -> list[dict[str, Any]]:
+        found = [value for line in lines if (value := self._line(line)) is not None]
+        self.signs += len(found)
+        return found
+
     def _line(self, line: bytes) -> dict[str, Any] | None:
         if not line.strip():  # the sign of life; within an object only where its rest got lost
+            self.signs += not self._pending
             self._drop()
             return None
         starts = line.startswith(b"{")
--- /dev/null
+++ b/anisespool/discovery/stream.py
@@ -0,0 +1,100 @@
+"""One call to discovery and, where it is answered, the watch that it becomes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import traceback
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from anisespool import http1
+from anisespool.config import Address
+from anisespool.discovery.deadline import Failure
+from anisespool.discovery.lines import Lines
+from anisespool.errors import DiscoveryFault, DiscoveryRefused, DiscoveryUnreachable
+from anisespool.log import fault
+
+READ_BYTES = 65536
+
+
+class News(NamedTuple):
+    """What some bytes of a stream have made whole."""
+
+    objects: list[dict[str, Any]]
+    skipped: list[str]  # what could not be read, and why
+    alive: bool  # an object or an empty line has become whole; parts of an object are no sign of life
+
+
+class Stream:
+    """Open from its creation until `close`, or until it ends by itself, which it logs. Times in monotonic
+    seconds."""
+
+    def __init__(
+        self, address: Address, since: int, on_news: Callable[[Stream, News], None],
+        on_change: Callable[[], None],
+    ) -> None:  # fmt: skip
+        """`since`: the revision to ask for changes after. `on_news`: bytes of the body have been
+        read. `on_change`: the head has come, or the stream has ended."""
+        self.address, self.since = address, since
+        self.began_s = self.last_byte_s = time.monotonic()
+        self.head_s: float | None = None  # when the head of a watch had come
+        self.failure = Failure.UNREACHABLE  # what its end shows, if it ends now
+        self._on_news, self._on_change = on_news, on_change
+        self._lines, self._signs = Lines(), 0
+        self._chunks: list[bytes] = []  # of the body, since the last look
+        self._task = asyncio.create_task(self._hold())
+        self._task.add_done_callback(lambda _: on_change())
+
+    @property
+    def ended(self) -> bool:
+        return self._task.done()
+
+    def close(self) -> None:
+        self._task.cancel()
+
+    async def _hold(self) -> None:
+        """From the call to the end of the watch, whatever ends it."""
+        try:
+            try:
+                await self._read_all()
+            except DiscoveryFault as error:
+                fault("discovery", error)
+            except OSError as error:
+                fault("discovery", DiscoveryUnreachable(f"{type(error).__name__}: {error}"))
+        except Exception:  # whatever it was: without a watch, drains are missed for good
+            traceback.print_exc()
+
+    async def _read_all(self) -> None:
+        parser, writer = http1.ResponseParser(lambda data: self._chunks.append(data)), None
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+            target = b"/v1/servers?stream=1&index=%d" % self.since
+            request = http1.Request(b"GET", target, {}, b"", True)
+            writer.write(http1.encode_request(request, "{}:{}".format(*self.address).encode(), {}))
+            while data := await reader.read(READ_BYTES):
+                self._feed(parser, data)
+        finally:
+            parser.close()
+            if writer:
+                writer.transport.abort()
+
+    def _feed(self, parser: http1.ResponseParser, data: bytes) -> None:
+        """Raises DiscoveryFault where the stream has to end."""
+        parser.feed(data)
+        self.last_byte_s = time.monotonic()
+        if parser.status:
+            self.failure = Failure.REFUSED
+        if parser.status == 200 and self.head_s is None:
+            self.head_s = self.last_byte_s
+            self._on_change()
+        if parser.broken or parser.response or parser.status not in (0, 200):
+            raise DiscoveryRefused(f"the answer was {parser.status or 'no HTTP'}")
+        chunks, self._chunks = self._chunks, []
+        if chunks and parser.status == 200:
+            self._hand_on(self._lines.feed(b"".join(chunks)))
+            self._lines.check_size()
+
+    def _hand_on(self, objects: list[dict[str, Any]]) -> None:
+        signs, self._signs = self._signs, self._lines.signs
+        self._on_news(self, News(objects, self._lines.take_skipped(), self._signs > signs))
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -4,39 +4,27 @@
 
 import asyncio
 import time
-import traceback
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
-from anisespool import http1
 from anisespool.config import Address, MemberList, Names
-from anisespool.discovery.clock import CALL_S, LATE_S, SIGN_S, CallClock
-from anisespool.discovery.lines import Lines
-from anisespool.errors import (
-    DiscoveryFault,
-    DiscoveryRefused,
-    DiscoverySilent,
-    DiscoveryUnreachable,
-    UnreadableList,
-)
+from anisespool.discovery.clock import LATE_S, SIGN_S, CallClock
+from anisespool.discovery.deadline import Failure
+from anisespool.discovery.stream import News, Stream
+from anisespool.errors import DiscoverySilent, UnreadableList
 from anisespool.log import fault, say
 
 MOST_SHOWN = 200  # characters of what could not be read
 
 
-async def _first(task: asyncio.Task[None], *events: asyncio.Event, timeout_s: float | None = None) -> None:
-    """Until the task has ended or one of the events is set, or the time is over."""
-    waits = [asyncio.ensure_future(event.wait()) for event in events]
-    try:
-        await asyncio.wait((task, *waits), timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        for wait in waits:
-            wait.cancel()
-
-
 class Watch:
-    """Keeps the list up to date and hands each change on, in order."""
+    """Keeps the list up to date and hands each change on, in order.
+
+    Of its streams at most one is held: the one that has brought a whole line, be it an empty one. Its lines
+    count until another has brought one. The others are calls that have not: the first of them is kept beside
+    a further call while it still brings bytes.
+    """
 
     def __init__(
         self, address: Address, names: Names, known: MemberList, fleet_size: int, ask_within_ns: int,
@@ -46,12 +34,14 @@
         """`on_raw`: told of each object as discovery wrote it, after `on_list`."""
         self.address, self._names, self._on_list, self._on_raw = address, names, on_list, on_raw
         self.revision = known.revision  # of the list in use
-        self._clock = CallClock(fleet_size, ask_within_ns / 1e9)
+        self._clock = CallClock(fleet_size, ask_within_ns / 1e9, time.monotonic())
         self.start_delay_s = self._clock.start_delay(bool(known.members) and not at_once)
         self.heard = asyncio.Event()  # a list, or a change of one
         self.failed = asyncio.Event()  # a call
         self._moved = asyncio.Event()
-        self._stream: _Stream | None = None  # the one whose lines count
+        self._changed = asyncio.Event()  # something that the course of calls depends on
+        self._held: Stream | None = None
+        self._calls: list[Stream] = []
 
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
@@ -60,49 +50,92 @@
             while True:
                 self.address = await moves.get()
                 say("discovery", "moves to {}:{}".format(*self.address))
+                self._clock.moved(time.monotonic())
                 self._moved.set()
+                self._changed.set()
         finally:
             watching.cancel()
 
     async def run(self, delay_s: float) -> None:
         """Call, hold the watch, call again. A silent watch stays until a new one has spoken: it may only be
         late. What it misses counts as told meanwhile, and so does what a failed call would have brought."""
-        held = call = None
         try:
-            await self._pause(delay_s)
+            await self._pause(self._clock.cut(delay_s, time.monotonic()))
             while True:
                 if self._moved.is_set():
                     self._moved.clear()
-                    await asyncio.sleep(self._clock.move_delay())
-                call = _Stream(self)
-                if await call.speaks(self._moved):
-                    if held:
-                        held.close()
-                    held = call
-                else:
-                    call.close()
+                    self._close_calls()
+                    await self._pause(self._clock.move_delay(time.monotonic()))
+                    continue
+                call = self._open_call()
+                failure = await self._settled(call)
+                if failure:
                     self.failed.set()
-                    await self._pause(self._clock.failed())
-                    held = held if held and not held.ended else None
-                if held and held.address == self.address:
-                    await self._until_due(held)
-                    if held.ended:
-                        held = None
-                        await self._pause(self._clock.ended())
+                    if self._held and self._held.ended:
+                        self._held = None
+                    await self._pause(self._clock.failed(call.began_s, time.monotonic(), failure))
+                await self._until_due()
         finally:
-            for stream in (held, call):
-                if stream:
-                    stream.close()
+            self._close_calls()
+            if self._held:
+                self._held.close()
+
+    def _open_call(self) -> Stream:
+        now_s = time.monotonic()
+        first, others = self._calls[:1], self._calls[1:]
+        stalled = [call for call in first if now_s > call.last_byte_s + SIGN_S + LATE_S]
+        for call in others + stalled:
+            call.close()
+        self._calls = [call for call in first if not call.ended and call not in stalled]
+        stream = Stream(self.address, self.revision, self.came, self._changed.set)
+        self._calls.append(stream)
+        return stream
+
+    def _close_calls(self) -> None:
+        for call in self._calls:
+            call.close()
+        self._calls.clear()
+
+    async def _settled(self, call: Stream) -> Failure | None:
+        """How the call has failed, or None: some call has brought a whole line, or a move made it moot."""
+        while call in self._calls and not self._moved.is_set():
+            now_s = time.monotonic()
+            if call.ended:
+                self._calls.remove(call)
+                return call.failure
+            if call.head_s is not None:
+                due_s = self._clock.line_due_at(call.head_s)
+            else:
+                due_s = self._clock.head_due_at(call.began_s)
+            if now_s >= due_s:
+                if call.head_s is None:
+                    call.close()
+                    self._calls.remove(call)
+                fault("discovery", DiscoverySilent("no answer to a call in time"))
+                return Failure.HUNG
+            await self._change(due_s - now_s)
+        return None
 
-    async def _until_due(self, held: _Stream) -> None:
+    async def _until_due(self) -> None:
         """Until the watch has ended, or another is due in its place."""
-        while not held.ended and not self._moved.is_set():
+        while self._held and self._held.address == self.address and not self._moved.is_set():
             now_s = time.monotonic()
+            if self._held.ended:
+                self._held = None
+                await self._pause(self._clock.ended(now_s))
+                return
             if now_s >= self._clock.renewal_at():
                 silent = f"the watch has been silent for {self._clock.silent_for(now_s):.1f} s"
                 fault("discovery", DiscoverySilent(f"{silent}, calling anew"))
                 return
-            await _first(held.task, self._moved, timeout_s=self._clock.renewal_at() - now_s)
+            await self._change(self._clock.renewal_at() - now_s)
+
+    async def _change(self, timeout_s: float) -> None:
+        """Until something has changed since the caller looked, or the time is over."""
+        self._changed.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
 
     async def _pause(self, delay_s: float) -> None:
         """A move ends it: the new address has been told nothing yet."""
@@ -110,19 +143,28 @@
             async with asyncio.timeout(delay_s):
                 await self._moved.wait()
 
-    def came(self, stream: _Stream, found: list[dict[str, Any]], skipped: list[str]) -> None:
-        """Of a stream's body. From its first bytes its lines count, and those of the one before no more."""
-        if not stream.spoken.is_set():
-            self._stream = stream
-            stream.spoken.set()
-        if stream is not self._stream:
-            return
-        self._clock.heard(time.monotonic())
-        for why in skipped:
+    def came(self, stream: Stream, news: News) -> None:
+        """Of a stream's body. From its first whole line on its lines count, those of the one before no more.
+        A watch with a call in its place has been silent for too long: its lines count, but not as life."""
+        if stream is not self._held and stream not in self._calls:
+            return  # closed
+        for why in news.skipped:
             fault("discovery", UnreadableList(f"a line was skipped: {why}"[:MOST_SHOWN]))
-        for raw in found:
+        if news.alive and stream is not self._held:
+            self._hold(stream)
+        if news.alive and not self._calls and stream.address == self.address:
+            self._clock.heard(time.monotonic())
+        for raw in news.objects:
             self._take(raw, stream.since)
 
+    def _hold(self, stream: Stream) -> None:
+        if self._held:
+            self._held.close()
+        self._calls.remove(stream)
+        self._close_calls()
+        self._held = stream
+        self._changed.set()
+
     def _take(self, raw: dict[str, Any], since: int) -> None:
         """`since`: the revision that the stream was asked for changes after."""
         try:
@@ -138,71 +180,3 @@
         if self._on_raw:
             self._on_raw(raw, update)
         self.heard.set()
-
-
-class _Stream:
-    """One call and, where it is answered, the watch that it becomes."""
-
-    def __init__(self, owner: Watch) -> None:
-        self._owner, self.address, self.since = owner, owner.address, owner.revision
-        self._lines = Lines()
-        self._chunks: list[bytes] = []  # of the body, since the last look
-        self.spoken = asyncio.Event()  # the body has begun
-        self.task = asyncio.create_task(self._hold())
-
-    @property
-    def ended(self) -> bool:
-        return self.task.done()
-
-    def close(self) -> None:
-        self.task.cancel()
-
-    async def speaks(self, moved: asyncio.Event) -> bool:
-        """Whether it has been answered, once that is known; or not before `moved`, which makes it moot."""
-        await _first(self.task, self.spoken, moved)
-        return self.spoken.is_set()
-
-    async def _hold(self) -> None:
-        """From the call to the end of the watch, whatever ends it; it is logged here."""
-        try:
-            await self._watch()
-        except TimeoutError:
-            fault("discovery", DiscoverySilent("no answer to a call in time"))
-        except DiscoveryFault as error:
-            fault("discovery", error)
-        except OSError as error:
-            fault("discovery", DiscoveryUnreachable(f"{type(error).__name__}: {error}"))
-        except Exception:  # Danger: whatever it was, without a watch drains are missed for good
-            traceback.print_exc()
-
-    async def _watch(self) -> None:
-        parser, writer = http1.ResponseParser(lambda data: self._chunks.append(data)), None
-        try:
-            async with asyncio.timeout(CALL_S):
-                reader, writer = await asyncio.open_connection(*self.address)
-                target = b"/v1/servers?stream=1&index=%d" % self.since
-                request = http1.Request(b"GET", target, {}, b"", True)
-                writer.write(http1.encode_request(request, "{}:{}".format(*self.address).encode(), {}))
-                while not parser.status and await self._feed(parser, reader):
-                    pass
-            async with asyncio.timeout(SIGN_S + LATE_S):  # where nothing has changed, an empty line is all
-                while not self.spoken.is_set() and await self._feed(parser, reader):
-                    pass
-            while await self._feed(parser, reader):
-                pass
-        finally:
-            parser.close()
-            if writer:
-                writer.transport.abort()
-
-    async def _feed(self, parser: http1.ResponseParser, reader: asyncio.StreamReader) -> bool:
-        data = await reader.read(65536)
-        if not data:
-            return False
-        parser.feed(data)
-        if parser.broken or parser.response or parser.status not in (0, 200):
-            raise DiscoveryRefused(f"the answer was {parser.status or 'no HTTP'}")
-        if self._chunks:
-            chunks, self._chunks = self._chunks, []
-            self._owner.came(self, self._lines.feed(b"".join(chunks)), self._lines.take_skipped())
-        return True
--- a/tests/scale_fleet/course.py
+++ b/tests/scale_fleet/course.py
@@ -15,7 +15,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from anisespool.discovery.clock import CALL_S, SIGN_S, CallClock
+from anisespool.discovery.clock import SIGN_S, CallClock
+from anisespool.discovery.deadline import Failure
 from tests.scale_fleet.discovery import StandIn, Timeline
 
 ASK_WITHIN_S = 10.0  # as in the settings of the tests
@@ -62,22 +63,23 @@
 
     def __init__(self, fleet: _Fleet) -> None:
         self.fleet, self.told_at = fleet, -1.0
-        self.clock = CallClock(fleet.play.fleet_size, ASK_WITHIN_S)
+        self.clock = CallClock(fleet.play.fleet_size, ASK_WITHIN_S, fleet.times.time())
 
     def call_in(self, delay_s: float) -> None:
         self.fleet.times.call_at(self.fleet.times.time() + delay_s, self.call)
 
     def call(self) -> None:
         call = _Call(self)
-        self.fleet.times.call_at(self.fleet.times.time() + CALL_S, call.failed)
+        self.fleet.times.call_at(self.clock.head_due_at(call.began_s), call.given_up)
         self.fleet.discovery.call(call)
 
 
 class _Call:
-    __slots__ = ("_open", "_sidecar")
+    __slots__ = ("_open", "_sidecar", "began_s")
 
     def __init__(self, sidecar: _Sidecar) -> None:
         self._sidecar, self._open = sidecar, True
+        self.began_s = sidecar.fleet.times.time()
 
     def answered(self) -> bool:
         was_open, self._open = self._open, False
@@ -87,10 +89,17 @@
         return was_open
 
     def failed(self) -> None:
+        self._fail(Failure.REFUSED if self._sidecar.fleet.discovery.up else Failure.UNREACHABLE)
+
+    def given_up(self) -> None:
+        self._fail(Failure.HUNG)
+
+    def _fail(self, failure: Failure) -> None:
         if self._open:
             self._open = False
-            self._sidecar.fleet.failed += self._sidecar.fleet.discovery.up
-            self._sidecar.call_in(self._sidecar.clock.failed())
+            fleet, clock = self._sidecar.fleet, self._sidecar.clock
+            fleet.failed += fleet.discovery.up
+            self._sidecar.call_in(clock.failed(self.began_s, fleet.times.time(), failure))
 
 
 class _Fleet:
@@ -122,7 +131,7 @@
         clock.heard(-random.uniform(0.0, SIGN_S))
         return clock.renewal_at()
     if start is Start.ENDED:
-        return clock.ended()
+        return clock.ended(0.0)
     return clock.start_delay(start is Start.RESTARTED)
 
 
--- a/tests/scale_fleet/watches.py
+++ b/tests/scale_fleet/watches.py
@@ -15,7 +15,7 @@
 from unittest import mock
 
 from anisespool.config import Address, MemberList, Names
-from anisespool.discovery import watch
+from anisespool.discovery import stream, watch
 from anisespool.discovery.clock import SIGN_S
 from tests.scale_fleet import virtual
 from tests.scale_fleet.course import ASK_WITHIN_S, HORIZON_S, Play, late, seeded
@@ -120,7 +120,8 @@
 def _in_memory(loop: asyncio.AbstractEventLoop, discovery: _Discovery) -> Iterator[None]:
     """Danger: only the clock, the connection and the log are replaced."""
     patch: Any = mock.patch.multiple
-    with (patch(watch, time=SimpleNamespace(monotonic=loop.time), fault=lambda *_: None),
+    stand_ins: dict[str, Any] = {"time": SimpleNamespace(monotonic=loop.time), "fault": lambda *_: None}
+    with (patch(watch, **stand_ins), patch(stream, **stand_ins),
           mock.patch.object(asyncio, "open_connection", discovery.connect)):  # fmt: skip
         yield
 
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -13,6 +13,7 @@
 
 from anisespool.config import Address, MemberList, load
 from anisespool.discovery import clock
+from anisespool.discovery.deadline import TOLD_S, Failure
 from anisespool.discovery.watch import Watch
 from tests.net import Discovery, Peer, member, member_list, read_request, reset, until, write_config
 from tests.support import SECOND
@@ -85,10 +86,10 @@
         await asyncio.sleep(down_s)  # the outage itself: calls fail and pauses grow meanwhile
         discovery.up, back = True, monotonic()
         try:
-            async with asyncio.timeout(clock.TOLD_S):
+            async with asyncio.timeout(TOLD_S):
                 await until(lambda: len(told) == fleet_size)
         except TimeoutError:
-            pytest.fail(f"{name}: {len(told)} told in {clock.TOLD_S} s; {dict(discovery.outcomes)}")
+            pytest.fail(f"{name}: {len(told)} told in {TOLD_S} s; {dict(discovery.outcomes)}")
         finally:
             for task in (working, *tasks):
                 task.cancel()
@@ -112,15 +113,24 @@
     fleet_size: int
 ) -> None:
     """In force since the terms of the stricter acceptance: told 6 s after the return, whatever failed."""
-    queue_s = 2.0  # the longest that a call waits in discovery's queue
     for _ in range(100):
-        calls = clock.CallClock(fleet_size, 10.0)
-        pauses = [calls.failed() for _ in range(8)]
-        assert clock.CALL_S + max(pauses) + queue_s < clock.TOLD_S
-        assert calls.start_delay(True) + queue_s + max(pauses) < clock.TOLD_S  # the first call of all failed
-        assert calls.ended() + queue_s + max(pauses) < clock.TOLD_S
+        calls, began_s = clock.CallClock(fleet_size, 10.0, 0.0), 0.0
+        for _ in range(8):
+            given_up_s = calls.head_due_at(began_s)
+            assert given_up_s > began_s + QUEUE_S  # it has been served or refused by then, if anything
+            next_s = given_up_s + calls.failed(began_s, given_up_s, Failure.HUNG)
+            assert next_s + QUEUE_S < began_s + TOLD_S
+            began_s = next_s
+        first_s = clock.CallClock(fleet_size, 10.0, 0.0).start_delay(True)
+        ended_s = clock.CallClock(fleet_size, 10.0, 0.0).ended(0.0)
+        for began_s in (first_s, ended_s):
+            for waited_s in (0.0, QUEUE_S):  # refused at once, or after the longest wait
+                calls = clock.CallClock(fleet_size, 10.0, 0.0)
+                failed_s = began_s + waited_s
+                next_s = failed_s + calls.failed(began_s, failed_s, Failure.REFUSED)
+                assert next_s + QUEUE_S < TOLD_S
         calls.heard(0.0)
-        assert calls.renewal_at() + queue_s < clock.TOLD_S
+        assert calls.renewal_at() + QUEUE_S < TOLD_S
 
 
 class Overtaken(Peer):
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -11,7 +11,7 @@
 import pytest
 
 from anisespool.config import Address, load
-from anisespool.discovery.clock import TOLD_S
+from anisespool.discovery.deadline import TOLD_S
 from anisespool.front.server import Server
 from anisespool.front.waits import READING_S
 from tests.fleet import Fleet, Relay
