Close a server's pool last where one line has it up and gone

Root cause: Sidecar._apply removed what the list no longer has before it updated the rest. A line that names a server as up and then as removed (lines that discovery joins) has both rows under one number, so the update made a new pool that took attempts, for good: the decisions had the server as gone, and only they stood between it and new requests.

Change: removals come after the updates. A removed id that returns in the same line has another number, so it is not touched.

Tests: tests/test_drain_lists.py plays ten forms of telling that a server is out, ids that return with a new start at the same or another address, an address that changes under its id, one that another id takes over, a change and the end of its connection in one read, and operators' calls back of what the list has as out. test_out_is_out_whatever_form_the_list_has[twice in one line, removed last] failed before on the pool left open; the other 18 passed before: ruled out.

--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -98,12 +98,12 @@
 
     def _apply(self, update: MemberList, form: RosterForm) -> tuple[api.Listed, ...]:
         rows, gone = self.servers.apply(update, form)
-        for number in gone:
-            self._endpoints.remove(number)
         for member, row in rows:
             if row.state != EndpointState.GONE:
                 up = row.state == EndpointState.READY
                 self._endpoints.update(row.endpoint, member.id, member.address, row.started_ns, up)
+        for number in gone:  # last, as one line may have a server both up and gone
+            self._endpoints.remove(number)
         return tuple(row for _, row in rows)
 
     def orders_changed(self, member_ids: Iterable[str]) -> None:
