Take no operators' order for discovery's word

Root cause: Sidecar.orders_changed passed each order on as a change of the list (RosterForm.DELTA). Members.on_roster ends the hearsay of peers' lists with any list that is not the cached one, as discovery has spoken by then. So on a start with discovery down, the first DISABLE or ENABLE of any server made all those usable again that a quorum of peers knows to drain or to be gone.

Change: until discovery has told a list, an order goes as the whole list of the start, in its cached form (Servers.reordered).

Tests: test_an_order_leaves_what_peers_lists_say_in_force failed before, {0, 1, 2} reached in place of {1, 2}. That peers' lists, verdicts and calls back make nothing usable that the own list has as draining, gone or not at all passed before: ruled out.

--- a/anisespool/servers.py
+++ b/anisespool/servers.py
@@ -22,6 +22,7 @@
         self.members: dict[str, Member] = {}  # as last listed, whatever the operators say
         self._left: dict[str, None] = {}  # ids that have been listed and are no more, the latest last
         self.revision = 0
+        self._discovery_spoke = False
         self.numbers: dict[str, int] = {}  # id -> its number; one that is gone never returns
         self.ids: dict[int, str] = {}  # the same by the number
         self.shared: dict[int, int] = {}  # number -> what peers call it
@@ -33,6 +34,7 @@
         """Take up a list or a change. The servers that it has, with their rows for the module, and the
         numbers of those that it no longer has."""
         self.revision, gone, rows = update.revision, [], []
+        self._discovery_spoke |= form is not RosterForm.CACHED
         if form is not RosterForm.DELTA:
             for absent in self.numbers.keys() - {member.id for member in update.members}:
                 gone.append(self._drop(absent))
@@ -68,6 +70,15 @@
             return row._replace(state=EndpointState.DRAINING)
         return row._replace(started_ns=max(row.started_ns, order.at_ms * 1_000_000 - self._epoch_ns))
 
+    def reordered(self, member_ids: Iterable[str]) -> tuple[MemberList, RosterForm]:
+        """Those of the servers that are listed, to be taken up anew under changed orders. Until discovery has
+        spoken that is the whole list of the start: a change of it would pass for discovery's word, which ends
+        what peers' later lists say."""
+        known = tuple(self.members[m] for m in member_ids if m in self.members)
+        if self._discovery_spoke or not known:
+            return MemberList(self.revision, False, known), RosterForm.DELTA
+        return MemberList(self.revision, True, tuple(self.members.values())), RosterForm.CACHED
+
     def _drop(self, member_id: str) -> int:
         number = self.numbers.pop(member_id)
         del self.ids[number]
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -108,10 +108,9 @@
 
     def orders_changed(self, member_ids: Iterable[str]) -> None:
         """By the operators. As a change of the list: attempts that wait for a connection are placed anew."""
-        known = self.servers.members
-        members = tuple(known[m] for m in member_ids if m in known)
-        if members:
-            self.listed(MemberList(self.servers.revision, False, members))
+        update, form = self.servers.reordered(member_ids)
+        if update.members:
+            self.listed(update, form)
 
     # The module -----------------------------------------------------------------------------------
 
