Start from the stored list where known is of the same revision

A first answer of discovery may be of the revision that known has; what it told to drain or left out was then up again after a kill, for as long as discovery was down.

Change: known replaces the stored list only where it is later.

Tests: tests/test_drain_restart.py, with real processes and SIGKILL. An operators' order out held before as well, over kills, a later known, and discovery naming the server up anew with a new start: ruled out.

--- a/anisespool/state/snapshot.py
+++ b/anisespool/state/snapshot.py
@@ -41,10 +41,11 @@
         self._dirty = asyncio.Event()
 
     def loaded(self, names: Names, known: MemberList) -> MemberList:
-        """The stored list, where it is later than `known` and can be read; else `known`."""
+        """The stored list, unless `known` is later or it can't be read; else `known`. Of one revision the
+        stored list is the one that discovery told here."""
         try:
             stored = self._store.last_list()
-            if stored is None or stored[0].revision <= known.revision:
+            if stored is None or stored[0].revision < known.revision:
                 return known
             raw = json.loads(stored[1])
             if raw.get("whole") is not True:
