Read the store at a start though the count of loads cannot be written

Root cause: LoadGuard.begin raised OSError out of Store.open on a disk that takes no further file (full, or read-only), so the store was not opened though it could be read, and the servers that operators had taken out were in use again. The count is a guard against a crash loop: without it the load goes on.

tests/test_disk_ends.py: "takes no further file" failed before (`assert set() == {'s-0'}`) and passes after; a kill while the disk is full (tests/test_full_disk.py) passed before and after the mechanism: what had its yes holds, the list is that of one revision.

--- a/anisespool/state/guard.py
+++ b/anisespool/state/guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from pathlib import Path
 
 from anisespool.state.records import log, now_ms
@@ -12,7 +13,8 @@
 
 class LoadGuard:
     """Counts loads that began and never ended, in a file beside the store: where the store itself makes a
-    start crash, it cannot hold the count."""
+    start crash, it cannot hold the count. A disk that does not take the file costs the count alone: the store
+    may well be read, and it says which servers are out."""
 
     def __init__(self, path: Path) -> None:
         self._path = path.with_name(path.name + ".loading")
@@ -20,16 +22,18 @@
     def starts_failed(self) -> int:
         try:
             return int(self._path.read_text() or 0)
-        except FileNotFoundError:
-            return 0
         except ValueError:
             return LOADS_BEFORE_ASIDE
+        except OSError:  # it is not there, or cannot be read
+            return 0
 
     def begin(self) -> None:
-        self._path.write_text(str(self.starts_failed() + 1))
+        with suppress(OSError):
+            self._path.write_text(str(self.starts_failed() + 1))
 
     def end(self) -> None:
-        self._path.unlink(missing_ok=True)
+        with suppress(OSError):
+            self._path.unlink()
 
 
 def set_aside(path: Path, why: str) -> None:
--- a/tests/test_disk_ends.py
+++ b/tests/test_disk_ends.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import sqlite3
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, closing
@@ -94,6 +95,22 @@
         assert (await call(admin, b"DISABLE s-0\n")).startswith(b"FAILURE")
 
 
+async def test_a_start_on_a_disk_that_takes_no_further_file_still_knows_who_is_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The count of loads cannot be written, but the store can be read."""
+    before = Process(tmp_path, locks=tmp_path)
+    await before.it.order("s-0", True)
+
+    def full(path: Path, text: str) -> int:
+        raise OSError(errno.ENOSPC, "No space left on device", str(path))
+
+    monkeypatch.setattr(Path, "write_text", full)
+    again = Process(tmp_path, locks=tmp_path)
+    await again.it.load()
+    assert again.out() == {"s-0"}
+
+
 async def test_a_torn_last_write_costs_none_that_had_its_yes(tmp_path: Path) -> None:
     """As the end of the machine leaves it: of the frames of a commit that was never answered, some are
     missing and one is cut."""
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -103,6 +103,21 @@
         assert await it.out() == "1 out: s-1"
 
 
+async def test_a_kill_while_the_disk_is_full_costs_nothing_that_had_its_yes(tmp_path: Path) -> None:
+    async with site(tmp_path) as it:
+        await it.start()
+        await until(lambda: stored(it.fleet.home(0))[0] == 2)
+        assert (await it.ask("DISABLE s-1")).startswith("SUCCESS")
+        fill(it.fleet, 0)
+        assert "in this process only" in await it.ask("ENABLE s-1")
+        it.discovery.say(member_list(3, [it.rows[0] | {"phase": "draining"}], False))
+        await until(lambda: "the list is not stored" in it.fleet.log(0))
+        await it.restart()
+        assert await it.out() == "1 out: s-1"
+        assert "set aside" not in it.fleet.log(0)
+        assert "starting from the stored list of revision 2\n" in it.fleet.log(0)
+
+
 async def test_a_call_back_after_an_order_that_was_not_stored_is_in_force_with_its_yes(
     tmp_path: Path,
 ) -> None:
