Test that a key bound for longer is not read back as it was, and split the disk tests

The store may hold what bound a key before while the later record waits for the disk; reading it back would end the key's binding early (keys.recall takes what it is given).

--- a/tests/disk.py
+++ b/tests/disk.py
@@ -3,11 +3,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 import resource
 import sqlite3
 import threading
-from contextlib import closing
+from collections.abc import AsyncIterator, Awaitable
+from contextlib import asynccontextmanager, closing
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -112,3 +114,16 @@
     it = FailingDisk()
     monkeypatch.setattr(sqlite3, "connect", partial(sqlite3.connect, factory=partial(FailingConnection, it)))
     return it
+
+
+@asynccontextmanager
+async def running(*works: Awaitable[None]) -> AsyncIterator[None]:
+    """None of them may end meanwhile."""
+    tasks = [asyncio.ensure_future(work) for work in works]
+    try:
+        yield
+        assert not any(task.done() for task in tasks), "a task ended for good"
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/test_disk_ends.py
+++ b/tests/test_disk_ends.py
@@ -14,12 +14,14 @@
 
 from anisespool import pair
 from anisespool.config import Address, load
+from anisespool.outside import Outside
 from anisespool.pair import Pair
+from anisespool.servers import Servers
 from anisespool.service import Service
 from anisespool.state import owed, tables
 from anisespool.state.learned import PinRow
-from anisespool.state.memory import PIN
-from anisespool.state.records import now_ms
+from anisespool.state.memory import PIN, Memory
+from anisespool.state.records import Record, now_ms
 from anisespool.state.store import Order, Store, place
 from tests.disk import FULL, FailingDisk, failing_disk, stored_orders
 from tests.net import TellingDiscovery, free_port, member, member_list, until, write_config
@@ -95,6 +97,32 @@
         assert (await call(admin, b"DISABLE s-0\n")).startswith(b"FAILURE")
 
 
+async def test_a_key_that_was_bound_for_longer_is_not_read_back_as_it_was_before(
+    tmp_path: Path, disk: FailingDisk
+) -> None:
+    """The store has what bound it before, as the later record waits for the disk."""
+    recalled: list[list[int]] = []
+    outside = Outside(Servers({}, 0), lambda event: None)
+    outside.recall = lambda remembered, pins: recalled.append([pin.key for pin in pins])  # type: ignore[method-assign]
+    store, now = Store.open(tmp_path, "n0"), now_ms()
+    assert store
+    for key in (1, 2):
+        await store.put([Record(PIN, str(key), now, now + 30_000, f"[{key}, 1, 0, 0]")])
+    it = Memory(store, Pair(None, "n0"), outside, keeps_pins=True)
+    following = asyncio.create_task(it.follow())
+    await until(lambda: recalled == [[1, 2]])
+    disk.fail(FULL)
+    it.pin(PinRow(1, 1, 0, 0, now + 60_000))
+    await until(lambda: disk.failures > 0)
+    with closing(tables.connect(store.path)) as other:  # the other process gets through
+        tables.put_records(other, "n0", [Record(PIN, "3", now, now + 30_000, "[3, 1, 0, 0]")])
+    await until(lambda: len(recalled) > 1)
+    assert recalled[1] == [2, 3]
+    following.cancel()
+    await asyncio.wait([following])
+    store.close()
+
+
 async def test_a_start_on_a_disk_that_takes_no_further_file_still_knows_who_is_out(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- /dev/null
+++ b/tests/test_failing_records.py
@@ -0,0 +1,103 @@
+"""What waits for a disk that fails for a while, but for orders: pins, what was learned and the list."""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterator
+from contextlib import closing
+from pathlib import Path
+
+import pytest
+
+from anisespool.config import MemberList
+from anisespool.outside import Outside
+from anisespool.pair import Pair
+from anisespool.servers import Servers
+from anisespool.state import memory, owed
+from anisespool.state.learned import LearnedRow, PinRow, Remembered
+from anisespool.state.memory import Memory
+from anisespool.state.snapshot import ListSnapshot
+from anisespool.state.store import Store, now_ms
+from tests.disk import FULL, IO_ERROR, FailingDisk, failing_disk, running
+from tests.net import member, member_list, until
+from tests.test_maintenance import ADDRESS
+from tests.test_stored_list import stored
+
+MINUTE_MS = 60_000
+
+
+@pytest.fixture
+def disk(monkeypatch: pytest.MonkeyPatch) -> FailingDisk:
+    """All stores opened from now on are on it."""
+    return failing_disk(monkeypatch)
+
+
+@pytest.fixture(autouse=True)
+def _fast_retries(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(owed, "RETRY_FIRST_S", 0.01)
+    monkeypatch.setattr(owed, "RETRY_MOST_S", 0.05)
+
+
+def _memory(store: Store, folder: Path, learned: list[LearnedRow]) -> Memory:
+    outside = Outside(Servers({}, 0), lambda event: None)
+    outside.snapshot = lambda: Remembered(learned, ())  # type: ignore[method-assign]
+    return Memory(store, Pair(folder, "n0"), outside, keeps_pins=True)
+
+
+@pytest.fixture
+def store(tmp_path: Path, disk: FailingDisk) -> Iterator[Store]:
+    it = Store.open(tmp_path, "n0")
+    assert it
+    yield it
+    it.close()
+
+
+async def test_pins_and_what_was_learned_are_stored_once_the_disk_recovers_and_while_they_bind(
+    tmp_path: Path, disk: FailingDisk, store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(memory, "SNAPSHOT_S", 0.02)
+    now = now_ms()
+    it = _memory(store, tmp_path, [LearnedRow("s-0", 1.5, 0.0, now)])
+    async with running(it.follow()):
+        disk.fail(FULL)
+        for key in range(5):
+            it.pin(PinRow(key, 1, 0, 2, now + MINUTE_MS))
+        it.pin(PinRow(99, 1, 0, 2, now + 1))  # over by the time that the disk recovers
+        await until(lambda: disk.failures >= 4)
+        disk.recover()
+        await until(lambda: len(store.records(memory.PIN)) == 5)
+        await until(lambda: [r.id for r in store.records(memory.LEARNED)] == ["s-0"])
+    with closing(sqlite3.connect(store.path)) as connection:
+        assert connection.execute("SELECT count(*) FROM records WHERE kind = 'pin'").fetchone() == (5,)
+
+
+async def test_what_waits_for_the_disk_is_bounded_by_its_time(
+    tmp_path: Path, disk: FailingDisk, store: Store
+) -> None:
+    it = _memory(store, tmp_path, [])
+    async with running(it.follow()):
+        disk.fail(FULL)
+        for n in range(2_000):
+            it.pin(PinRow(n % 500, 1, 0, 2, now_ms() + 50))
+        assert it.unwritten <= 500  # one of each key
+        await until(lambda: it.unwritten == 0)
+        assert disk.failures
+
+
+@pytest.mark.parametrize("where", ["INSERT OR REPLACE INTO list_heads", "COMMIT"])
+async def test_a_list_whose_write_failed_half_way_is_stored_whole(
+    tmp_path: Path, disk: FailingDisk, store: Store, where: str
+) -> None:
+    rows = [member(f"s-{n}", ADDRESS) for n in range(4)]
+    it = ListSnapshot(store, rows)
+    async with running(it.follow()):
+        it.heard(member_list(2, rows), MemberList(2, True, ()))
+        await until(lambda: stored(tmp_path)[0] == 2)
+        disk.fail(IO_ERROR, where)
+        drained = rows[0] | {"phase": "draining"}
+        it.heard(member_list(3, [drained], False), MemberList(3, False, ()))
+        await until(lambda: disk.failures > 1)
+        assert stored(tmp_path) == (2, {row["id"]: row for row in rows})
+        disk.recover()
+        await until(lambda: stored(tmp_path)[0] == 3)
+        assert stored(tmp_path)[1] == {row["id"]: row for row in [drained, *rows[1:]]}
