--- a/anisespool/pair.py
+++ b/anisespool/pair.py
@@ -89,8 +89,8 @@
         self._first = self._second = self._stem = None
 
     def _open(self) -> None:
-        """Open the locks, now or at a later look, each REOPEN_S. Danger: without them the other process does
-        not know of this one, and does not follow its orders."""
+        """Open the locks, now or at a later look, each REOPEN_S: without them the other process does not know
+        of this one, and does not follow its orders."""
         if self._stem is None or time.monotonic() < self._open_at:
             return
         self._open_at = time.monotonic() + REOPEN_S
--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -223,13 +223,19 @@
                 connection.close()
 
     def _use_next_reader(self) -> None:
-        """On the thread that reads. Danger: a reader closed while it reads ends the process by SIGSEGV."""
-        if self._next_reader is None or self._closed:
+        """On the thread that reads: a reader that another one closes while it reads ends the process by
+        SIGSEGV. Not while a thread writes whose task was cancelled: it may be opening further ones."""
+        if not self._writing.acquire(blocking=False):
             return
-        if self.is_open:
-            self._reader.close()
-        self._reader, self._next_reader, self.is_open = self._next_reader, None, True
-        self._versions.clear()
-        former, self._file_id = self._file_id, self._next_file_id
+        try:
+            if self._next_reader is None or self._closed:
+                return
+            if self.is_open:
+                self._reader.close()
+            self._reader, self._next_reader, self.is_open = self._next_reader, None, True
+            self._versions.clear()
+            former, self._file_id = self._file_id, self._next_file_id
+        finally:
+            self._writing.release()
         for call in self.on_new_file if former != self._file_id else ():
             call()
