Tell a server no time that its request spent unread

Root cause: ClientReading noted only when bytes were first seen to wait, and only while reading was paused; the first read forgot it. What one read did not take (64 KiB) counted as just come, and so did all that came while this process stood still or before it accepted the connection. Servers were told that time as well, and attempts ran past their clients' own time.

Change: Arrivals keeps how many bytes had come at each look (FIONREAD), until they are read; and the kernel says how long ago the last data came (TCP_INFO). A wait under 50 ms counts as none, as before: the request would pass for a retry. kernel.py has these and what endpoint connections ask.

Tests, in tests/test_deadlines.py, all failed before: behind 400 KB sent ahead 'was told 1971 ms with 1560 ms left'; after the process stood still for 0.4 s, on a connection in use and on one not yet accepted, 'was told 1988 ms with 1598 ms left'.

--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -8,9 +8,9 @@
 
 from anisespool import http1
 from anisespool.endpoints.attempt import Attempt
-from anisespool.endpoints.kernel import has_input, unacknowledged
 from anisespool.endpoints.pool import Pool
 from anisespool.flow import Flow, read_buffer
+from anisespool.kernel import has_input, unacknowledged
 from shuntlead.interface import Status
 
 HOLD_S = 0.05  # for an answer of no told length to end: a short one can still be repeated, a long one waits
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -59,7 +59,7 @@
             return
         now, began, in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
         self._waits.heard(now / 1e9)
-        came = self._came_ns(now)
+        came = self._came_ns(now, nbytes)
         self._queue.extend((request, came) for request in self._parser.feed(read_buffer[:nbytes]))
         if self._parser.partial and not began:
             self._waits.request_begins(now / 1e9, self._served)
--- a/anisespool/front/reading.py
+++ b/anisespool/front/reading.py
@@ -10,6 +10,9 @@
 import time
 from typing import Protocol
 
+from anisespool.front.arrivals import Arrivals
+from anisespool.kernel import since_data_ms, unread
+
 LOOK_S = 0.04  # no attempt may begin more than 0.1 s after its client has gone
 
 
@@ -56,7 +59,7 @@
         self._paused = paused
         self._transport: asyncio.Transport | None = None
         self._hangup, self._unread = select.poll(), select.poll()
-        self._unread_since_ns = 0  # when bytes were first seen to wait while it was not read; 0: none were
+        self._arrivals = Arrivals()
 
     def _leave(self) -> None:
         """The client has gone: nothing more is begun for it, and what is under way ends."""
@@ -75,15 +78,18 @@
         return self._transport is not None and not self._transport.is_closing() and bool(self._unread.poll(0))
 
     def look(self) -> None:
-        """Whether bytes have come that wait to be read."""
-        if not self._unread_since_ns and self.has_unread():
-            self._unread_since_ns = time.monotonic_ns()
-
-    def _came_ns(self, now: int) -> int:
-        """Of what is read now. Danger: a client's time runs while its request waits unread; taken for new,
-        its server would be told more than is left."""
-        since, self._unread_since_ns = self._unread_since_ns, 0
-        return since or now
+        """What has come and waits to be read."""
+        if self._transport and not self._transport.is_closing():
+            waiting = unread(self._transport.get_extra_info("socket").fileno())
+            self._arrivals.saw(waiting, time.monotonic_ns())
+
+    def _came_ns(self, now: int, nbytes: int) -> int:
+        """Of what is read now. Danger: a client's time runs while its request waits unread, as too much was
+        sent ahead, or this process stood still, or did not accept; taken for new, its server would be told
+        more than is left."""
+        assert self._transport
+        waited_ms = since_data_ms(self._transport.get_extra_info("socket"))
+        return self._arrivals.read(nbytes, now, now - waited_ms * 1_000_000)
 
     def is_gone(self) -> bool:
         """The client has closed its connection, or its side of it, whether or not we have read that far."""
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from pathlib import Path
 from typing import Any
@@ -12,9 +13,12 @@
 from anisespool.sidecar import Sidecar
 from shuntlead import interface as api
 from tests.drains import FULL, scene
-from tests.net import until
+from tests.net import held_until, until
+from tests.support import SECOND
 
 WAIT_S = 0.4  # well over what an observer allows
+BODY, COUNT = 20_000, 20  # of requests sent ahead: several times what is read at once, and queued
+AMPLE = {"target-ns": 2 * SECOND, "deadline-ns": 2 * SECOND, "effect": "once", "worth": 1.0}
 
 
 async def test_an_attempt_whose_time_is_over_does_not_begin(
@@ -80,3 +84,41 @@
         await it.tell(it.row(1))
         assert await held == 200
         assert it.seen.receipts[0].told_ms < 1900 - WAIT_S * 1000
+
+
+async def test_what_waits_behind_others_of_its_client_is_told_what_is_left(tmp_path: Path) -> None:
+    """Some is read ahead, and the rest waits in the kernel: more than one read takes."""
+    release = asyncio.Event()
+    async with scene(tmp_path, held_until(release), request_classes=[dict(AMPLE) for _ in range(3)]) as it:
+        await it.tell(it.row(1, "draining"))
+        listener = it.it.service._server._listener
+        assert listener
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)  # for the connection's own kernel
+        reader, writer = await asyncio.open_connection(*it.it.address)
+        writer.write(b"".join(it.seen.call(f"t{n}", "once", body=bytes(BODY)) for n in range(COUNT)))
+        await until(lambda: len(it.seen.receipts) == 1 and not writer.transport.get_write_buffer_size())
+        due = time.monotonic() + WAIT_S
+        await until(lambda: time.monotonic() > due)
+        release.set()
+        answers = b""
+        while answers.count(b"HTTP/1.1") < COUNT:
+            answers += await reader.read(65536)
+        writer.close()
+        assert answers.count(b"HTTP/1.1 200") == len(it.seen.receipts) == COUNT
+
+
+@pytest.mark.parametrize("kept", [False, True])
+async def test_what_came_while_the_process_stood_is_told_what_is_left(tmp_path: Path, kept: bool) -> None:
+    """Unread on a connection that was served before, or on one that has yet to be accepted."""
+    loop = asyncio.get_running_loop()
+    async with scene(tmp_path, request_classes=[dict(AMPLE) for _ in range(3)]) as it:
+        await it.tell(it.row(1, "draining"))
+        with socket.create_connection(it.it.address) as client:
+            client.setblocking(False)
+            if kept:
+                await loop.sock_sendall(client, it.seen.call("first"))
+                assert (await loop.sock_recv(client, 4096)).startswith(b"HTTP/1.1 200")
+            client.send(it.seen.call("late", "once"))
+            time.sleep(WAIT_S)  # the sidecar is in this thread: nothing is read meanwhile
+            assert (await loop.sock_recv(client, 4096)).startswith(b"HTTP/1.1 200")
+        assert it.seen.traces("s-0")[-1] == "late"
