Play clients that leave before their turn, trouble at others, and pairs of cold fleets

And the slow start's bound did not have sidecars of two processes each, as in an upgrade.

Measured: all pass on the code as it was (ruled out).

--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -49,6 +49,7 @@
         self._ids = itertools.count(1)
         self.cars: list[Balancer] = []
         self.started = 0
+        self.processes = 1  # of each sidecar: in an upgrade there are two, of one index
 
     def at(self, when: int, do: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), do))
@@ -59,7 +60,7 @@
 
     def start(self, n: int) -> None:
         """Sidecar N, from nothing."""
-        changes = self._changes | {"self_index": n}
+        changes = self._changes | {"self_index": n // self.processes}
         car = Balancer(settings(**changes), self.random.getrandbits(32))
         self.cars[n : n + 1] = [car]
         self._act(car, car.handle(self.now, api.Roster(1, api.RosterForm.FULL, tuple(self.rows()))))
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -57,3 +57,14 @@
         print(f"{sidecars} sidecars, {cold} of {servers} cold: {worst}")
         assert worst.beyond <= 0.0, (sidecars, worst)
         assert worst.used > 0.05, (sidecars, worst)  # a new server is no use to anyone if it gets nothing
+
+
+@pytest.mark.parametrize("then", [steady, burst, all_replaced, all_new], ids=lambda f: f.__name__)
+def test_two_processes_of_each_sidecar_stay_within_the_same_budget(then: Callable[[ColdFleet], None]) -> None:
+    """In an upgrade, with the clients split between them: the settings say how many sidecars there are."""
+    for seed, (sidecars, servers, cold, rate) in enumerate(SIZES[:2]):
+        it = ColdFleet(seed, 2 * sidecars, servers, cold, 0.7, rate / 2, fleet_size=sidecars)
+        it.processes = 2
+        worst = it.run(2.5, then)
+        print(f"{sidecars} sidecars of two processes, {cold} of {servers} cold: {worst}")
+        assert worst.beyond <= 0.0, (sidecars, worst)
--- /dev/null
+++ b/tests/test_gone_turns.py
@@ -0,0 +1,99 @@
+"""Clients that leave while their requests wait for a turn, or while the process stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.drains import FULL, scene
+from tests.net import OK, Streams, until
+from tests.observer import GONE_S
+from tests.support import SECOND
+from tests.test_gone import WAYS
+
+IN_ORDER = {"target-ns": 2 * SECOND, "deadline-ns": 2 * SECOND, "effect": "by_key", "worth": 1.0,
+            "dedup-scope": "all", "dedup-window-ns": SECOND, "in-order": True}  # fmt: skip
+KEY = "X-Props: key=7\r\nIdempotency-Key: k{}\r\n"
+STALL_S = 0.15
+
+
+@pytest.mark.parametrize("leave", WAYS)
+async def test_who_leaves_before_the_turn_of_its_key_gets_no_attempt_and_holds_up_nobody(
+    tmp_path: Path, leave: Callable[..., None]
+) -> None:
+    waiting: list[Streams] = []
+
+    async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        waiting.append((reader, writer))
+
+    classes = [dict(IN_ORDER) for _ in range(3)]
+    async with scene(tmp_path, hold, request_classes=classes) as it:
+        await it.tell(it.row(1, "draining"))
+        first = it.start("t0", cls="keyed", headers=KEY.format(0))
+        await until(lambda: len(waiting) == 1)
+        _, leaver = await asyncio.open_connection(*it.it.address)
+        leaver.write(it.seen.call("t1", cls="keyed", headers=KEY.format(1)))
+        await until(lambda: it.it.service.open == 2)
+        last = it.start("t2", cls="keyed", headers=KEY.format(2))
+        await until(lambda: it.it.service.open == 3)
+        leave(leaver)
+        it.seen.closed("t1")
+        await until(lambda: it.it.service.open == 2)
+        waiting.pop()[1].write(OK)
+        await until(lambda: len(waiting) == 1)
+        waiting.pop()[1].write(OK)
+        assert (await first, await last) == (200, 200)
+        assert it.seen.traces("s-0") == ["t0", "t2"]
+
+
+@pytest.mark.parametrize("cls", ["look", "keyed", "once"])
+async def test_who_leaves_while_the_process_stands_still_gets_no_further_attempt(
+    tmp_path: Path, cls: str
+) -> None:
+    """The answer that would bring a retry has come meanwhile, too."""
+    waiting: list[Streams] = []
+
+    async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        waiting.append((reader, writer))
+
+    async with scene(tmp_path, hold, hold) as it:
+        client = socket.create_connection(it.it.address)
+        client.sendall(it.seen.call("left", cls))
+        await until(lambda: len(waiting) == 1)
+        waiting.pop()[1].write(FULL)
+        client.close()
+        it.seen.closed("left")
+        time.sleep(STALL_S)
+        await until(lambda: it.it.service.open == 0)
+        due = time.monotonic() + GONE_S
+        await until(lambda: time.monotonic() > due)
+        assert [r.trace for r in it.seen.receipts] == ["left"]
+
+
+async def test_trouble_at_one_server_and_one_client_frees_no_other_of_its_answer(tmp_path: Path) -> None:
+    """One server resets all that it has; one client closes with a request under way. The rest is answered."""
+    broken: list[Streams] = []
+
+    async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        broken.append((reader, writer))
+
+    async with scene(tmp_path, hold) as it:
+        names = [(f"{cls}{n}", cls) for cls in ("look", "keyed", "once") for n in range(8)]
+        calls = {trace: it.start(trace, cls=cls) for trace, cls in names}
+        _, leaver = await asyncio.open_connection(*it.it.address)
+        leaver.write(it.seen.call("leaver", "once"))
+        await until(lambda: len(broken) > 2 and len({r.trace for r in it.seen.receipts}) == len(calls) + 1)
+        leaver.transport.abort()
+        it.seen.closed("leaver")
+        for _, writer in broken:
+            writer.transport.abort()
+        statuses = {trace: await call for trace, call in calls.items()}
+        at_broken = set(it.seen.traces("s-0"))
+        assert set(statuses.values()) <= {200, 502, 503}
+        assert all(status == 200 for trace, status in statuses.items() if trace not in at_broken)
+        assert all(statuses[t] == 502 for t in at_broken if t.startswith("once"))
