Let a connection that is gone fail alone: shutdown and setsockopt on it may raise

Root cause: asyncio's write_eof calls shutdown(2), which fails with ENOTCONN where the peer's reset has come and is yet unread; on loopback our own 408 brings that reset within the same call. Admin.answer let it out of its task. Outlet.begin raised where SO_SNDBUF could not be set, after the head was written: the server's connection was ended and the client never got the rest; Outlet.reset raised on SO_LINGER and left its client open. Behind unsent bytes the loop itself calls shutdown, and wrote a traceback.

Change: anisespool/sockets.py has the calls that may meet a connection that is gone: end_output aborts it, set_option passes over it, has_events counts a poll that fails as something come. The loop's exception handler logs a failed system call as one line; other exceptions are logged as ever.

Ruled out: reads and sends on connections to servers and clients with ten errnos (asyncio ends that one connection, without a traceback; what was not written goes out again, and every request got its one answer).

--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -9,6 +9,7 @@
 from anisespool.config import Address
 from anisespool.errors import AdminFault, UnknownCall
 from anisespool.front.listener import Acceptor
+from anisespool.sockets import end_output
 
 MAX_LINE = 512
 MOST_CALLERS = 8  # the one that has kept us waiting longest makes room for a further one
@@ -75,8 +76,7 @@
         if self._transport and not self._transport.is_closing():
             self._answered = True
             self._transport.write(text.encode() + b"\n")
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
+            end_output(self._transport)
             self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
     def abort(self) -> None:
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -11,6 +11,7 @@
 from anisespool.endpoints.attempt import Attempt
 from anisespool.endpoints.pool import Pool
 from anisespool.flow import Flow, read_buffer
+from anisespool.sockets import has_events
 from shuntlead.interface import Status
 
 HOLD_S = 0.05  # for an answer of no told length to end: a short one can still be repeated, a long one waits
@@ -71,7 +72,7 @@
             return False
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not has_events(poll)
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -15,6 +15,7 @@
 from anisespool.front.place import Front
 from anisespool.front.reading import ClientReading
 from anisespool.front.waits import Waits
+from anisespool.sockets import end_output
 
 MOST_PIPELINED = 8  # requests read ahead on one connection
 READ_NS = 1_000_000  # a request that waited no longer has not waited
@@ -240,5 +241,5 @@
         if self._transport:
             self._transport.write(data)
             self._resume_reading()
-            self._transport.write_eof()
+            end_output(self._transport)
             asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
--- a/anisespool/front/outlet.py
+++ b/anisespool/front/outlet.py
@@ -9,6 +9,7 @@
 
 from anisespool import http1
 from anisespool.flow import Flow
+from anisespool.sockets import set_option
 
 HIGH = 64 * 1024  # bytes that may wait for a client before their source is held
 KERNEL_BUFFER = 128 * 1024  # for long bodies: more would only hide how slow the client is
@@ -49,8 +50,7 @@
         assert self.transport
         self.transport.write(http1.encode_head(200, flow.length, 0.0, not keep_alive, chunked))
         self.transport.set_write_buffer_limits(high=high)
-        connected = self.transport.get_extra_info("socket")
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER)
+        set_option(self.transport, socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER)
         self._download, self._chunked = flow, chunked and flow.length is None
         flow.attach(self)
 
@@ -79,6 +79,5 @@
     def reset(self) -> None:
         """Danger: an orderly end would pass for the end of a body that has no length."""
         if self.transport:
-            connected = self.transport.get_extra_info("socket")
-            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            set_option(self.transport, socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.transport.abort()
--- a/anisespool/front/reading.py
+++ b/anisespool/front/reading.py
@@ -10,6 +10,8 @@
 import time
 from typing import Protocol
 
+from anisespool.sockets import has_events
+
 LOOK_S = 0.04  # no attempt may begin more than 0.1 s after its client has gone
 
 
@@ -72,7 +74,7 @@
     def has_unread(self) -> bool:
         """Bytes or an end have come that the loop has yet to read. Danger: a close now would reset the
         connection under a request, and take an answer with it that is still on its way."""
-        return self._transport is not None and not self._transport.is_closing() and bool(self._unread.poll(0))
+        return self._transport is not None and not self._transport.is_closing() and has_events(self._unread)
 
     def look(self) -> None:
         """Whether bytes have come that wait to be read."""
@@ -87,7 +89,7 @@
 
     def is_gone(self) -> bool:
         """The client has closed its connection, or its side of it, whether or not we have read that far."""
-        return self._transport is None or self._transport.is_closing() or bool(self._hangup.poll(0))
+        return self._transport is None or self._transport.is_closing() or has_events(self._hangup)
 
     def hang_up(self) -> None:
         """The client has gone, and nobody reads up to its end."""
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -21,6 +21,7 @@
 from anisespool.operators import Operators
 from anisespool.pair import Pair
 from anisespool.sidecar import Sidecar
+from anisespool.sockets import callback_failed
 from anisespool.state.memory import Memory
 from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import Store
@@ -89,6 +90,7 @@
         """Until `stop` is set and all that was taken is answered. Discovery is watched where the
         configuration says, and from then on where `moves` does."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(callback_failed)
         self._pair.look()  # Danger: the other process would not know of an order taken here before this lock
         await self._maintenance.load()
         self._open_admin()
--- /dev/null
+++ b/anisespool/sockets.py
@@ -0,0 +1,45 @@
+"""Calls on sockets whose connection may be gone by now: ENOTCONN, EINVAL and the like are no fault."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from contextlib import suppress
+from typing import Any
+
+from anisespool.log import fault
+
+
+def end_output(transport: asyncio.WriteTransport) -> None:
+    """Shut our side down behind what is written. shutdown(2) fails with ENOTCONN where a reset has come and
+    is yet unread; then nobody is there to read on."""
+    try:
+        transport.write_eof()
+    except OSError:
+        transport.abort()
+
+
+def set_option(transport: asyncio.BaseTransport, level: int, option: int, value: int | bytes) -> None:
+    """Set a socket's option, as far as it can be. A connection that is gone ends by its next read."""
+    with suppress(OSError):
+        transport.get_extra_info("socket").setsockopt(level, option, value)
+
+
+def has_events(poll: select.poll) -> bool:
+    """Whether anything that `poll` looks for has come, or an error, a hang-up or an invalid descriptor. Where
+    the kernel cannot tell (ENOMEM) it counts as come: who asks then reads, or ends the connection. EINTR is
+    retried by Python itself (PEP 475)."""
+    try:
+        return bool(poll.poll(0))
+    except OSError:
+        return True
+
+
+def callback_failed(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """The loop's exception handler. A system call that fails in a callback of the loop itself, as a shutdown
+    behind the last unsent bytes, is one line; all else is a fault of the program and logged as ever."""
+    error = context.get("exception")
+    if isinstance(error, OSError):
+        fault("server", error)
+    else:
+        loop.default_exception_handler(context)
--- a/tests/syscalls.py
+++ b/tests/syscalls.py
@@ -4,7 +4,7 @@
 
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
@@ -66,6 +66,14 @@
     return OSError(number, os.strerror(number))
 
 
+@pytest.fixture(autouse=True)
+def no_traceback(capfd: pytest.CaptureFixture[str], caplog: pytest.LogCaptureFixture) -> Iterator[None]:
+    """Wherever it is imported: no test writes one, nor does the loop."""
+    yield
+    assert "Traceback" not in capfd.readouterr().err
+    assert not [r for r in caplog.get_records("call") if r.name == "asyncio"]
+
+
 class FailingCall:
     """The next `times` matching calls fail; `failed` counts those that did."""
 
@@ -92,3 +100,21 @@
     """What the kernel does to a connection of which accept(2) reports an error: it is off the queue."""
     descriptor, _ = listener._accept()  # type: ignore[attr-defined]
     os.close(descriptor)
+
+
+class ShortCall:
+    """Matching calls of send or recv_into take that many bytes at most; `calls` counts them."""
+
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, name: str, nbytes: int, matches: Matches = always
+    ) -> None:
+        real = getattr(socket.socket, name)
+        self.calls = 0
+
+        def call(sock: socket.socket, data: bytes | memoryview, *arguments: Any) -> Any:
+            if matches(sock, (data, *arguments)):
+                self.calls += 1
+                data = memoryview(data)[:nbytes]
+            return real(sock, data, *arguments)
+
+        monkeypatch.setattr(socket.socket, name, call, raising=False)
