Count a lack of descriptors, ports or buffers against no server, and wait it out

Root cause: Endpoints._open knew EMFILE and ENFILE alone, and with them only looked once for an idle connection. ENOBUFS, ENOMEM and EADDRNOTAVAIL ended the attempt at once as CONNECT_FAILED, as a server with nobody there: the module put that server last in its draw (Estimates.learn_attempt), and three servers in a row used up a request's attempts within milliseconds of a shortage that is over in as many. A request was lost although a connection to the same server came back idle a moment later. A host name that none can be ("a..b") raised UnicodeError out of the task: a traceback, and the attempt ended only by its whole time.

Change: errors/system.py tells this machine's shortages (NO_RESOURCES, NO_PORT) from an unreachable server. Short of something, an attempt takes an idle connection of its server, however short its rest, or makes room (the longest idle connection to a server, else an idle client, one each 20 ms for all that wait together) and tries again every 20 ms within the time to connect. Where it lasts the attempt ends as MOOT: it never ran, as with CONNECT_FAILED, but nothing is learned of the server. Unreachable servers are CONNECT_FAILED at once, as before. A call to discovery that fails for want of descriptors makes room too, and its line has that remedy in place of "check that discovery runs".

Ruled out: wrong counts of connections being opened, an attempt with no end or two, a request with no answer, for each errno of connect(2).

Left: EAGAIN of connect(2), which asyncio takes for a connection in progress; the socket is then found unconnected, the attempt ends as CONNECT_FAILED and the request goes out again (test_whatever_one_connect_fails_with).

--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -20,6 +20,7 @@
     DiscoveryUnreachable,
     UnreadableList,
 )
+from anisespool.errors.system import SystemFailure, classify, described
 from anisespool.log import fault, say
 
 MOST_SHOWN = 200  # characters of what could not be read
@@ -52,6 +53,7 @@
         self.failed = asyncio.Event()  # a call
         self._moved = asyncio.Event()
         self._stream: _Stream | None = None  # the one whose lines count
+        self.make_room: Callable[[], object] = lambda: None  # frees a descriptor for the next call
 
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
@@ -170,8 +172,12 @@
             fault("discovery", DiscoverySilent("no answer to a call in time"))
         except DiscoveryFault as error:
             fault("discovery", error)
-        except OSError as error:
-            fault("discovery", DiscoveryUnreachable(f"{type(error).__name__}: {error}"))
+        except (OSError, UnicodeError) as error:  # UnicodeError: a host's name that is none
+            if isinstance(error, OSError) and classify(error) is SystemFailure.NO_RESOURCES:
+                fault("discovery", described(error))
+                self._owner.make_room()
+            else:
+                fault("discovery", DiscoveryUnreachable(f"{type(error).__name__}: {error}"))
         except Exception:  # Danger: whatever it was, without a watch drains are missed for good
             traceback.print_exc()
 
--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import time
-from errno import EMFILE, ENFILE
+from collections.abc import Callable
 
 from anisespool import http1
 from anisespool.config import Address
 from anisespool.endpoints.attempt import Attempt
 from anisespool.endpoints.connection import Connection
 from anisespool.endpoints.pool import REST_S, Idle, Pool
-from anisespool.log import say
+from anisespool.errors.system import SystemFailure, classify, described, is_short_here
+from anisespool.log import fault, say
 from shuntlead.interface import Status
 
 FORWARDED = {b"x-trace-id": b"X-Trace-Id", b"idempotency-key": b"Idempotency-Key",
@@ -20,6 +21,7 @@
 MAX_IDLE = 48  # idle connections kept to one endpoint
 SWEEP_S = 1.0
 QUIET_S = 0.5  # between two lines on broken connections
+SHORT_PAUSE_S = 0.02  # between two tries to connect while this machine has no descriptor, port or buffer left
 STALL_S = 10.0  # in the midst of a long body: peers may take seconds, but not for ever
 
 
@@ -37,6 +39,8 @@
         # alone, few of a long list. Removed and replaced ones stay till their connections end.
         self._used: dict[Pool, None] = {}
         self._logged_at = 0.0
+        self._made_room_at = 0.0
+        self.make_room: Callable[[], object] = lambda: None  # frees a descriptor that is not a server's
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
 
@@ -65,10 +69,16 @@
         say("traffic", "; ".join(rows))
 
     def log_broken(self, text: str) -> None:
-        if time.monotonic() >= self._logged_at + QUIET_S:
-            self._logged_at = time.monotonic()
+        if self._may_log():
             say("broken", text)
 
+    def _may_log(self) -> bool:
+        now = time.monotonic()
+        if now < self._logged_at + QUIET_S:
+            return False
+        self._logged_at = now
+        return True
+
     def update(
         self, number: int, name: str, address: Address, started_ns: int, open_to_new: bool
     ) -> None:
@@ -112,17 +122,15 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _open(self, pool: Pool, attempt: Attempt) -> None:
+        unreached = Status.CONNECT_FAILED
         connection: Idle | None = None
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(lambda: Connection(self, pool), *pool.address)
-        except TimeoutError:
-            if pool.heard_ns < attempt.started_ns:
-                pool.close_idle()  # as for Connection.suspect
+            connection = await self._connect(pool, attempt)
         except OSError as error:
-            if error.errno in (EMFILE, ENFILE):  # no descriptor is left: one that has hardly rested will do
-                connection = pool.take(time.monotonic())
+            if is_short_here(error):  # it says nothing of the server, but the request never ran there
+                unreached = Status.MOOT
+        except ValueError:  # a name or port that cannot be one
+            pass
         finally:
             self._opening -= 1
             pool.waiting.discard(attempt)
@@ -130,12 +138,53 @@
         if connection is None or not connection.fresh():
             if connection:
                 connection.discard()
-            attempt.end(Status.CONNECT_FAILED)
+            attempt.end(unreached)
         elif attempt.may_start(attempt):
             self._start(connection, pool, attempt)
         else:  # given up meanwhile; the handshake is paid for
             self.release(connection, pool)
 
+    async def _connect(self, pool: Pool, attempt: Attempt) -> Idle:
+        """A connection for this attempt, before the time to connect is over; else OSError. While this machine
+        has nothing left to connect with, one that has hardly rested will do, or there is another try."""
+        loop = asyncio.get_running_loop()
+        short: OSError | None = None
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                while short is None or attempt.status is None:
+                    try:
+                        _, connection = await loop.create_connection(
+                            lambda: Connection(self, pool), *pool.address
+                        )
+                        return connection
+                    except OSError as error:
+                        if not is_short_here(error):
+                            short = None
+                            raise
+                        short = error
+                    if idle := pool.take(time.monotonic()):
+                        return idle
+                    self._relieve(short)
+                    await asyncio.sleep(SHORT_PAUSE_S)
+        except TimeoutError:
+            if short is None:
+                if pool.heard_ns < attempt.started_ns:
+                    pool.close_idle()  # as for Connection.suspect
+                raise
+        assert short
+        raise short
+
+    def _relieve(self, short: OSError) -> None:
+        """This machine is short of something: one connection goes that is not needed now, and no more of them
+        for all attempts that wait together."""
+        if self._may_log():
+            fault("broken", described(short))
+        now = time.monotonic()
+        if now >= self._made_room_at + SHORT_PAUSE_S:
+            self._made_room_at = now
+            if not self._evict() and classify(short) is SystemFailure.NO_RESOURCES:
+                self.make_room()
+
     def _start(self, connection: Idle, pool: Pool, attempt: Attempt) -> None:
         left_ms = max(1, (attempt.deadline_ns - time.monotonic_ns()) // 1_000_000)
         headers = {
--- a/anisespool/errors/system.py
+++ b/anisespool/errors/system.py
@@ -18,7 +18,8 @@
     NOTHING_TO_DO = auto()  # nothing is there yet: wait until the descriptor is ready
     CONNECTION_GONE = auto()  # that one connection only: go on with the next
     UNREACHABLE = auto()  # the peer, or the way to it, at present
-    NO_RESOURCES = auto()  # this machine is short of descriptors, ports or buffers: make room and pause
+    NO_RESOURCES = auto()  # this machine is short of descriptors or buffers: make room and pause
+    NO_PORT = auto()  # this machine has no local port left for that peer: pause
     FATAL = auto()  # a fault of ours, or unknown: pause, so that a repeat does not spin
 
 
@@ -30,8 +31,8 @@
     SystemFailure.UNREACHABLE: (errno.ECONNREFUSED, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH,
                                 errno.ENETDOWN, errno.ENETRESET, errno.EHOSTDOWN, errno.ENONET, errno.EPERM,
                                 errno.EACCES),
-    SystemFailure.NO_RESOURCES: (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC,
-                                 errno.EADDRNOTAVAIL, errno.EADDRINUSE),
+    SystemFailure.NO_RESOURCES: (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC),
+    SystemFailure.NO_PORT: (errno.EADDRNOTAVAIL, errno.EADDRINUSE),
 }  # fmt: skip
 _BY_NUMBER = {number: failure for failure, numbers in _CLASSES.items() for number in numbers}
 
@@ -52,7 +53,7 @@
 def is_short_here(error: OSError) -> bool:
     """Of socket(2) and connect(2): this machine has no descriptor, port or buffer for the call at present,
     which says nothing about the peer."""
-    return classify(error) in (SystemFailure.NO_RESOURCES, SystemFailure.NOTHING_TO_DO)
+    return classify(error) in (SystemFailure.NO_RESOURCES, SystemFailure.NO_PORT)
 
 
 def described(error: OSError) -> Fault | OSError:
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -56,6 +56,7 @@
         self._operators = Operators(config, self._sidecar, self._maintenance)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
+        self._endpoints.make_room = self._server.make_room
         self._snapshot = ListSnapshot(self._store, config.known_members) if self._store else None
         outside = self._sidecar.outside
         # Keys that have to be kept: where all servers drop a repeat, any of them may get it.
@@ -66,6 +67,7 @@
             self._sidecar.listed, at_once=config.inherited_fd is not None or settings.discovery == "push",
             on_raw=self._snapshot.heard if self._snapshot else None,
         )  # fmt: skip
+        self._watch.make_room = self._server.make_room
         self._beside = BesideRates(self._store, outside) if self._store else None
         self._warm = None
         if self._sidecar.peers:
--- a/tests/syscalls.py
+++ b/tests/syscalls.py
@@ -81,12 +81,13 @@
         self, monkeypatch: pytest.MonkeyPatch, name: str, number: int, times: int, matches: Matches = always,
         before: Callable[[socket.socket], None] | None = None,
     ) -> None:  # fmt: skip
-        """`name`: a method of socket.socket. `number`: the errno. `before`: done as the call fails."""
+        """`name`: a method of socket.socket, __init__ for socket(2), where the taking over of a descriptor is
+        none. `number`: the errno. `before`: done as the call fails."""
         real = getattr(socket.socket, name)
         self.failed = 0
 
         def call(sock: socket.socket, *arguments: Any, **options: Any) -> Any:
-            if self.failed < times and matches(sock, arguments):
+            if self.failed < times and "fileno" not in options and matches(sock, arguments):
                 self.failed += 1
                 if before:
                     before(sock)
