--- a/tests/syscalls.py
+++ b/tests/syscalls.py
@@ -79,15 +79,20 @@
 
     def __init__(
         self, monkeypatch: pytest.MonkeyPatch, name: str, number: int, times: int, matches: Matches = always,
-        before: Callable[[socket.socket], None] | None = None,
+        before: Callable[[socket.socket], None] | None = None, after: int = 0,
     ) -> None:  # fmt: skip
         """`name`: a method of socket.socket, __init__ for socket(2), where the taking over of a descriptor is
-        none. `number`: the errno. `before`: done as the call fails."""
+        none. `number`: the errno. `before`: done as the call fails. `after`: so many succeed first."""
         real = getattr(socket.socket, name)
         self.failed = 0
+        passed = 0
 
         def call(sock: socket.socket, *arguments: Any, **options: Any) -> Any:
+            nonlocal passed
             if self.failed < times and "fileno" not in options and matches(sock, arguments):
+                passed += 1
+                if passed <= after:
+                    return real(sock, *arguments, **options)
                 self.failed += 1
                 if before:
                     before(sock)
