--- a/anisespool/errors/system.py
+++ b/anisespool/errors/system.py
@@ -56,6 +56,8 @@
     return classify(error) in (SystemFailure.NO_RESOURCES, SystemFailure.NO_PORT)
 
 
-def described(error: OSError) -> Fault | OSError:
-    """For the log: with its remedy, where there is one."""
-    return NoDescriptors(str(error)) if classify(error) is SystemFailure.NO_RESOURCES else error
+def described(error: OSError, otherwise: type[Fault] | None = None) -> Fault | OSError:
+    """For the log, with its remedy: of a lack of resources, or of the fault that it is `otherwise`."""
+    if classify(error) is SystemFailure.NO_RESOURCES:
+        return NoDescriptors(str(error))
+    return otherwise(str(error)) if otherwise else error
--- a/anisespool/peers.py
+++ b/anisespool/peers.py
@@ -11,6 +11,7 @@
 
 from anisespool.config import Address, PeerAddresses
 from anisespool.errors import PeerAddressTaken, PeerMessageDropped
+from anisespool.errors.system import described
 from anisespool.log import fault
 from shuntlead import interface as api
 from shuntlead.gossip import decode_peer, encode_peer
@@ -50,7 +51,7 @@
             except OSError as error:
                 if not complained:
                     complained = True
-                    fault("peers", PeerAddressTaken(str(error)))
+                    fault("peers", described(error, PeerAddressTaken))
                 await asyncio.sleep(OPEN_AGAIN_S)
 
     def close(self) -> None:
