Write no more chunks to a connection that the loop has found broken

Root cause: Outlet.flow_data and Connection.flow_data wrote each chunk of a read whether or not an earlier one had failed. The loop tells the loss only in its next turn, and asyncio logs "socket.send() raised exception." for each write from the sixth on: with chunks of 20 bytes some 5000 lines of the log for one client (or server) that broke.

tests/test_short_io.py: both tests of many chunks failed before (10064 lines together), and pass after.

--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -93,7 +93,8 @@
     # The request's long body, on its way here -----------------------------------------------------
 
     def flow_data(self, data: bytes) -> None:
-        if self._upload and self._transport:
+        """Danger: as for Outlet.flow_data."""
+        if self._upload and self._transport and not self._transport.is_closing():
             self._transport.write(data if self._upload.length is not None else http1.encode_chunk(data))
             if self._unflushed:
                 self._upload.hold()
--- a/anisespool/front/outlet.py
+++ b/anisespool/front/outlet.py
@@ -55,7 +55,9 @@
         flow.attach(self)
 
     def flow_data(self, data: bytes) -> None:
-        if self.transport and self._download:
+        """Danger: asyncio logs each write on a connection that it has found broken in the same turn, and one
+        read may bring thousands of chunks."""
+        if self.transport and self._download and not self.transport.is_closing():
             self.transport.write(http1.encode_chunk(data) if self._chunked else data)
             if self.unread:
                 self._download.hold()
--- a/tests/test_short_io.py
+++ b/tests/test_short_io.py
@@ -9,15 +9,15 @@
 import socket
 import threading
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import pytest
 
 from anisespool.config import Address
-from tests.net import Endpoint, exchange, raw_call, read_head, until, world
+from tests.net import Endpoint, exchange, raw_call, read_head, read_response, until, world
 from tests.syscalls import FailingCall, ShortCall, is_accepted_at, is_connected_to, no_traceback
-from tests.test_long import Reading, chunked
+from tests.test_long import Reading, chunked, post
 
 __all__ = ["no_traceback"]  # a fixture
 
@@ -112,6 +112,35 @@
         assert len(it.service._endpoints.connections) == 1
 
 
+async def test_a_long_answer_in_many_chunks_is_not_written_on_to_a_client_that_broke(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each write after the failed one would be a line of the log, thousands for one client."""
+    answer = CHUNKED_HEAD + chunked(LONG_BODY, 20)
+    async with Endpoint(answer).serve() as endpoint, world(tmp_path, endpoint) as it:
+        failing = FailingCall(monkeypatch, "send", errno.EPIPE, 1, is_accepted_at(it.address), after=3)
+        reader, writer = await asyncio.open_connection(*it.address)
+        writer.write(raw_call(left_ms=9000))
+        with suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        assert failing.failed == 1
+        await until(lambda: not (it.service.open or it.service._endpoints.busy))
+
+
+async def test_a_long_request_in_many_chunks_is_not_written_on_to_a_server_that_broke(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as it:
+        failing = FailingCall(monkeypatch, "send", errno.EPIPE, 1, is_connected_to(endpoint.address), after=3)
+        reader, writer = await asyncio.open_connection(*it.address)
+        writer.write(post(chunked(LONG_BODY, 20), b"Transfer-Encoding: chunked"))
+        assert (await read_response(reader)).status == 503  # nothing of it is held to be sent again
+        writer.close()
+        assert failing.failed == 1 and not endpoint.requests
+        await until(lambda: not (it.service.open or it.service._endpoints.busy))
+
+
 @contextmanager
 def signals(number: signal.Signals, pause_s: float) -> Iterator[list[int]]:
     """Sent to this thread all the while; what came of them."""
