--- a/anisespool/discovery/stream.py
+++ b/anisespool/discovery/stream.py
@@ -13,6 +13,7 @@
 from anisespool.discovery.deadline import Failure
 from anisespool.discovery.lines import Lines
 from anisespool.errors import DiscoveryFault, DiscoveryRefused, DiscoveryUnreachable
+from anisespool.errors.system import SystemFailure, classify, described
 from anisespool.log import fault
 
 READ_BYTES = 65536
@@ -32,15 +33,15 @@
 
     def __init__(
         self, address: Address, since: int, on_news: Callable[[Stream, News], None],
-        on_change: Callable[[], None],
+        on_change: Callable[[], None], make_room: Callable[[], object],
     ) -> None:  # fmt: skip
         """`since`: the revision to ask for changes after. `on_news`: bytes of the body have been
-        read. `on_change`: the head has come, or the stream has ended."""
+        read. `on_change`: the head has come, or the stream has ended. `make_room` frees a descriptor."""
         self.address, self.since = address, since
         self.began_s = self.last_byte_s = time.monotonic()
         self.head_s: float | None = None  # when the head of a watch had come
         self.failure = Failure.UNREACHABLE  # what its end shows, if it ends now
-        self._on_news, self._on_change = on_news, on_change
+        self._on_news, self._on_change, self._make_room = on_news, on_change, make_room
         self._lines, self._signs = Lines(), 0
         self._chunks: list[bytes] = []  # of the body, since the last look
         self._task = asyncio.create_task(self._hold())
@@ -60,12 +61,19 @@
                 await self._read_all()
             except DiscoveryFault as error:
                 fault("discovery", error)
-            except OSError as error:
-                fault("discovery", DiscoveryUnreachable(f"{type(error).__name__}: {error}"))
+            except (OSError, UnicodeError) as error:  # UnicodeError: a host's name that is none
+                self._log_unreachable(error)
             self._hand_on(self._lines.finish())
         except Exception:  # whatever it was: without a watch, drains are missed for good
             traceback.print_exc()
 
+    def _log_unreachable(self, error: OSError | UnicodeError) -> None:
+        if isinstance(error, OSError) and classify(error) is SystemFailure.NO_RESOURCES:
+            fault("discovery", described(error))
+            self._make_room()
+        else:
+            fault("discovery", DiscoveryUnreachable(f"{type(error).__name__}: {error}"))
+
     async def _read_all(self) -> None:
         parser, writer = http1.ResponseParser(lambda data: self._chunks.append(data)), None
         try:
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -38,6 +38,7 @@
         self.start_delay_s = self._clock.start_delay(bool(known.members) and not at_once)
         self.heard = asyncio.Event()  # a list, or a change of one
         self.failed = asyncio.Event()  # a call
+        self.make_room: Callable[[], object] = lambda: None  # frees a descriptor for the next call
         self._moved = asyncio.Event()
         self._changed = asyncio.Event()  # something that the course of calls depends on
         self._held: Stream | None = None
@@ -87,7 +88,7 @@
         for call in others + stalled:
             call.close()
         self._calls = [call for call in first if not call.ended and call not in stalled]
-        stream = Stream(self.address, self.revision, self.came, self._changed.set)
+        stream = Stream(self.address, self.revision, self.came, self._changed.set, lambda: self.make_room())
         self._calls.append(stream)
         return stream
 
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -23,6 +23,7 @@
 from anisespool.operators import Operators
 from anisespool.pair import Pair
 from anisespool.sidecar import Sidecar
+from anisespool.sockets import callback_failed
 from anisespool.state.memory import Memory
 from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import Store
@@ -56,6 +57,7 @@
         self._operators = Operators(config, self._sidecar, self._maintenance)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
+        self._endpoints.make_room = self._server.make_room
         self._snapshot = ListSnapshot(self._store, config.known_members) if self._store else None
         outside = self._sidecar.outside
         # Keys that have to be kept: where all servers drop a repeat, any of them may get it.
@@ -66,6 +68,7 @@
             self._sidecar.listed, at_once=config.inherited_fd is not None or settings.discovery == "push",
             on_raw=self._snapshot.heard if self._snapshot else None,
         )  # fmt: skip
+        self._watch.make_room = self._server.make_room
         self._beside = BesideRates(self._store, outside) if self._store else None
         self._warm = None
         if self._sidecar.peers:
@@ -90,6 +93,7 @@
         """Until `stop` is set and all that was taken is answered. Discovery is watched where the
         configuration says, and from then on where `moves` does."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(callback_failed)
         self._pair.look()  # Danger: the other process would not know of an order taken here before this lock
         await self._maintenance.load()
         self._open_admin()
--- a/tests/test_taken.py
+++ b/tests/test_taken.py
@@ -13,6 +13,7 @@
 from anisespool.front import waits
 from anisespool.front.server import Server
 from tests.net import Endpoint, raw_call, until, write_config
+from tests.planned_end import end_now
 from tests.test_driver import driven, send_once
 
 
@@ -30,7 +31,7 @@
         with socket.create_connection(address) as client:
             request = raw_call("once", body=bytes(size))
             client.sendall(request[:-2])
-            await until(lambda: any(c.state == "half-written" for c in listener.connections))
+            await until(lambda: any(c.stage == "half-written" for c in listener.connections))
             await until(lambda: not any(c.has_unread() for c in listener.connections))
             [connection] = listener.connections
             client.sendall(request[-2:])  # and in the same turn of the loop:
@@ -43,4 +44,4 @@
             client.setblocking(False)
             answer = await asyncio.get_running_loop().sock_recv(client, 65536)
             assert answer.startswith(b"HTTP/1.1 ")
-        await listener.stop(0.0)
+        await listener.stop(end_now())
