Spread the calls after a move so that given-up ones of an earlier move leave room

`CallClock.move_delay` spread the calls of a fleet over 0.005 s a sidecar: 40 sidecars called within 0.2 s, and discovery works off 16/s. After a second SIGHUP the calls to the address before are given up, but stay in discovery's queue; the new ones waited over 2 s behind them, were refused, and came again: the last of 40 sidecars had its list 8.5 to 9.1 s after the first SIGHUP, of 200 6.8 to 6.9 s, where 4 s are allowed.

Moves are spread over 0.2 s a sidecar, up to 1.4 s (the old address keeps its watches for 1.5 s), and the spread is drawn within what the deadline leaves. A pause is not cut so far that calls begin closer together than it was drawn.

Ruled out: one loss or outage.

--- a/anisespool/discovery/clock.py
+++ b/anisespool/discovery/clock.py
@@ -5,11 +5,12 @@
 200 sidecars, 3 for 5): one that waits over QUEUE_S there is answered 503, and cost it work in vain.
 
 So calls are spread over the fleet, and each spread, pause and timeout is cut so that before the deadline
-there is time for one more call, its wait in the queue included (NEXT_CALL_S). Two things are not cut: a call
-is not given up before it can have waited its time in the queue, and a pause after a quick failure not below
-LEAST_PART of what was drawn, or a fleet whose calls are refused would call faster than discovery can refuse.
-A call that hung has spaced itself. The way not taken: pauses that grow with the fleet to the time that the
-settings allow for asking. In a fleet of 200 that was up to 10 s.
+there is time for one more call, its wait in the queue included (NEXT_CALL_S). Two things are not cut. A call
+is not given up before it can have waited its time in the queue. And no pause is cut so far that calls begin
+closer together than the pause that was drawn, or, after a refusal, below LEAST_PART of it: a fleet whose
+calls are refused would call faster than discovery can refuse. A call that hung has spaced itself. The way
+not taken: pauses that grow with the fleet to the time that the settings allow for asking. In a fleet of 200
+that was up to 10 s.
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 LEAST_LONGEST_S, LONGEST_S = 0.5, 1.2  # ... and after failed calls over this, in a small and a large fleet
 LEAST_PART = 0.5  # of a drawn pause after a quick failure, however near the deadline is
 FIRST_SHARE = 0.4  # of the time that one may go without asking, at most
-MOVE_S, MOVE_EACH_S = 1.0, 0.005  # of a move by SIGHUP: the old address ends its watches 1.5 s after it
+MOVE_S, MOVE_EACH_S = 1.4, 0.2  # of a move by SIGHUP: the old address ends its watches 1.5 s after it
 
 
 class CallClock:
@@ -59,7 +60,7 @@
 
     def move_delay(self, now_s: float) -> float:
         """Before the first call to another address: all sidecars are told of it at once."""
-        return self.cut(random.uniform(0.0, self._move_s), now_s)
+        return random.uniform(0.0, self.cut(self._move_s, now_s))
 
     def heard(self, now_s: float) -> None:
         """The watch has brought a whole line, be it an empty one."""
@@ -79,7 +80,7 @@
         self._pause_s = self._first_s
         if now_s < self._renewal_s:  # else it fell silent first, and its deadline runs since then
             self._deadline.ended(now_s)
-        return self.cut(random.uniform(0.0, self._start_s), now_s)
+        return random.uniform(0.0, self.cut(self._start_s, now_s))
 
     def head_due_at(self, began_s: float) -> float:
         """When a call that has had no head till then is given up."""
@@ -100,5 +101,7 @@
         self._pause_s = min(2 * self._pause_s, self._longest_s)
         if self._deadline.left_s(now_s) <= 0:
             return pause_s
-        least_s = 0.0 if failure is Failure.HUNG else LEAST_PART * pause_s
+        least_s = pause_s - (now_s - began_s)  # so that calls begin no closer together than that
+        if failure is not Failure.HUNG:
+            least_s = max(least_s, LEAST_PART * pause_s)
         return max(least_s, self.cut(pause_s, now_s))
--- a/tests/test_list_deadline.py
+++ b/tests/test_list_deadline.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from enum import Enum
+from functools import partial
 
 import pytest
 from hypothesis import example, given, settings
@@ -70,7 +71,8 @@
     """A 503 is an answer: discovery could be reached, so the 6 s run on."""
     phases = [Phase(Fault.REFUSED_LATE, 1.4)]
     for seed in range(20):
-        told_s, _ = play(lambda discovery: lost(discovery, fleet_size, loss, phases), seed, queue_s=1.95)
+        told_s, _ = play(lambda discovery: lost(discovery, fleet_size, loss, phases), seed,
+                         partial(VirtualDiscovery, 1.95))  # fmt: skip
         assert told_s < COUNTS_S, (seed, told_s)
 
 
@@ -86,7 +88,7 @@
         return await sidecar.told(2, LONG_S)
 
     for seed in range(20):
-        assert play(start, seed, queue_s) < COUNTS_S, seed
+        assert play(start, seed, partial(VirtualDiscovery, queue_s)) < COUNTS_S, seed
 
 
 PHASES = st.lists(st.builds(Phase, st.sampled_from(Fault), st.floats(0.0, 9.0)), max_size=5)
@@ -102,7 +104,8 @@
     loss: Loss, phases: list[Phase], fleet_size: int, queue_s: float, at_s: float, seed: int
 ) -> None:
     """Faults in any order, and from their end on each call waits `queue_s` before its answer."""
-    told_s, down_s = play(lambda discovery: lost(discovery, fleet_size, loss, phases, at_s), seed, queue_s)
+    told_s, down_s = play(lambda discovery: lost(discovery, fleet_size, loss, phases, at_s), seed,
+                          partial(VirtualDiscovery, queue_s))  # fmt: skip
     assert told_s < down_s + COUNTS_S
 
 
@@ -128,7 +131,7 @@
         told_s = await sidecar.told(2, since_s + LONG_S)
         return told_s - since_s, told_s - last_s
 
-    first_s, last_s = play(moved, seed, queue_s)
+    first_s, last_s = play(moved, seed, partial(VirtualDiscovery, queue_s))
     assert last_s < MOVE_COUNTS_S
     assert first_s < MOVE_COUNTS_S
 
@@ -148,4 +151,4 @@
         return await sidecar.told(2, since_s + LONG_S) - since_s
 
     for seed in range(20):
-        assert play(moved, seed, 1.0) < MOVE_COUNTS_S, seed
+        assert play(moved, seed, partial(VirtualDiscovery, 1.0)) < MOVE_COUNTS_S, seed
--- a/tests/virtual_discovery.py
+++ b/tests/virtual_discovery.py
@@ -64,25 +64,25 @@
     def __init__(self, discovery: VirtualDiscovery, address: Address) -> None:
         self.reader = asyncio.StreamReader()
         self.transport = self  # as of a StreamWriter
-        self.address, self._discovery, self._open = address, discovery, True
+        self.address, self._discovery, self.open = address, discovery, True
 
     def write(self, data: bytes) -> None:
         self._discovery.take(self)
 
     def abort(self) -> None:
-        self._open = False
+        self.open = False
         self._discovery.watching.discard(self)
 
     def say(self, data: bytes) -> None:
-        if self._open:
+        if self.open:
             self.reader.feed_data(data)
 
     def end(self) -> None:
-        if self._open:
+        if self.open:
             self.reader.feed_eof()
 
     def reset(self) -> None:
-        if self._open:
+        if self.open:
             self.reader.set_exception(ConnectionResetError())
 
 
@@ -121,7 +121,7 @@
         self.calls.append(loop.time())
         fault = self._fault()
         if fault is Fault.NONE:
-            loop.call_later(self.queue_s, self.answer, connection)
+            self.serve(connection)
         elif fault is Fault.REFUSED:
             connection.say(BUSY)
         elif fault is Fault.REFUSED_LATE:
@@ -140,9 +140,13 @@
             connection.say(HEAD + LAST_CHUNK)
             connection.end()
 
+    def serve(self, connection: Connection) -> None:
+        asyncio.get_running_loop().call_later(self.queue_s, self.answer, connection)
+
     def answer(self, connection: Connection) -> None:
-        connection.say(HEAD + chunk(change(self.revision)))
-        self.watching.add(connection)
+        if connection.open:
+            connection.say(HEAD + chunk(change(self.revision)))
+            self.watching.add(connection)
 
     def changes(self) -> None:
         """A change, written at once to each watch that is not silent."""
@@ -213,13 +217,12 @@
         yield
 
 
-def play(
-    scene: Callable[[VirtualDiscovery], Coroutine[Any, Any, Any]], seed: int = 1, queue_s: float = 0.0
-) -> Any:
+def play(scene: Callable[[Any], Coroutine[Any, Any, Any]], seed: int = 1,
+         discovery_of: Callable[[], VirtualDiscovery] = VirtualDiscovery) -> Any:  # fmt: skip
     """The result of the scene, on a clock of its own, with all draws from `seed`."""
 
     async def main() -> Any:
-        discovery = VirtualDiscovery(queue_s)
+        discovery = discovery_of()
         with _in_memory(discovery):
             signs = asyncio.create_task(discovery.sign())
             result = await scene(discovery)
