--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -4,6 +4,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import random
 from collections.abc import AsyncIterator, Collection
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -18,6 +20,7 @@
 from tests.test_stored_list import stored
 
 SERVERS = 3
+TURNS = int(os.environ.get("SAILBRIDGE_TURNS", "2"))  # 40 by hand; each takes a start
 REQUESTS = 20  # all draw from three servers: one that is in use gets some
 
 
@@ -189,3 +192,34 @@
         await it.restart()
         assert await it.out() == f"{len(expected)} out: {' '.join(sorted(expected))}"
         assert "set aside" not in it.fleet.log(0)
+
+
+@pytest.mark.timeout(20 + TURNS * 5)
+async def test_orders_on_a_disk_that_comes_and_goes_hold_over_kills_and_end_up_stored(tmp_path: Path) -> None:
+    """A yes holds over a kill; one without a yes may or may not; what is in force is stored in the end."""
+    draw = random.Random(23)
+    promised: dict[str, bool] = {}
+    async with site(tmp_path) as it:
+        await it.start()
+        for _ in range(TURNS):
+            await until(lambda: stored(it.fleet.home(0))[0] == 2)
+            for _ in range(8):
+                (fill if draw.random() < 0.5 else free)(it.fleet, 0)
+                server, out = f"s-{draw.randrange(SERVERS)}", draw.random() < 0.6
+                answer = await it.ask(f"{'DISABLE' if out else 'ENABLE'} {server}")
+                promised.pop(server, None)
+                if answer.startswith("SUCCESS"):
+                    promised[server] = out
+                else:
+                    assert "in this process only" in answer
+                    assert (server in (await it.out()).split()) == out
+            await it.restart()
+            held = (await it.out()).split()
+            assert all((server in held) == out for server, out in promised.items()), (promised, held)
+        fill(it.fleet, 0)
+        in_force = {f"s-{n}": n != 1 for n in range(SERVERS)}
+        for server, out in in_force.items():
+            await it.ask(f"{'DISABLE' if out else 'ENABLE'} {server}")
+        free(it.fleet, 0)
+        await until(lambda: it.orders() == in_force)
+        assert "set aside" not in it.fleet.log(0)
