Date what outlives a process by a clock that no step of the wall clock moves

Root cause: the state store's times (`now_ms` in state/records.py, `time.time_ns` in outside.py and fleet/shared.py) were read off the wall clock at each use. A step between two processes, or between a write and a read, changed every age. After a step of an hour the stored list was "over 10 min old" or "from the future" (state/store.py, last_list), so a restart with discovery down went back to `known` and sent to servers that had drained; and a stored pin was void, or from the future, so that a repeat left its zone.

Now one clock dates all of it: monotonic time plus an epoch that is taken from the wall clock once, and handed on in the store (kind `clock`, by the kernel's boot id) to the next process of the same boot. What is stored later than the clock it hands on shows that monotonic time did not go on; then, after a reboot, and with no boot id, the wall clock is taken as before, and stored pins run their whole window again.

Test: tests/test_wall_clock.py, steps of -3600, -5, 5 and 3600 s under a real process and over a SIGKILL.

--- a/anisespool/fleet/shared.py
+++ b/anisespool/fleet/shared.py
@@ -4,11 +4,11 @@
 from __future__ import annotations
 
 import struct
-import time
 from collections.abc import Sequence
 
 from anisespool.outside import Outside
 from anisespool.peers import MAX_DATAGRAM, Peers
+from anisespool.steady import CLOCK
 from shuntlead.gossip import decode_reports, encode_reports
 from shuntlead.interface import Status, TenantReport, Verdict
 
@@ -20,7 +20,7 @@
 
 def clock_ms() -> int:
     """Of the one clock that all machines read."""
-    return time.time_ns() // 1_000_000
+    return CLOCK.unix_ms()
 
 
 def verdicts_datagrams(rows: Sequence[Verdict]) -> list[bytes]:
--- a/anisespool/outside.py
+++ b/anisespool/outside.py
@@ -4,12 +4,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable, Sequence
 
 from anisespool.peers import Peers
 from anisespool.servers import Servers
 from anisespool.state.learned import LearnedRow, PinRow, Remembered, VerdictRow
+from anisespool.state.records import now_ms
 from shuntlead import interface as api
 
 
@@ -97,27 +97,27 @@
 
     def recall(self, remembered: Remembered, pins: Sequence[PinRow]) -> None:
         """What an earlier process knew, of servers that are listed now."""
-        now_ms, known = time.time_ns() // 1_000_000, self.servers.numbers
+        now, known = now_ms(), self.servers.numbers
         self._handle(
             api.Recall(
-                tuple(api.Sighting(known[r.server], r.slow, r.queue, max(0, now_ms - r.at_ms) * 1_000_000)
+                tuple(api.Sighting(known[r.server], r.slow, r.queue, max(0, now - r.at_ms) * 1_000_000)
                       for r in remembered.learned if r.server in known),
-                tuple(api.Verdict(known[r.server], (r.until_ms - now_ms) * 1_000_000, r.reason)
-                      for r in remembered.verdicts if r.server in known and r.until_ms > now_ms),
-                tuple(api.Pinned(*r[:4], (r.until_ms - now_ms) * 1_000_000) for r in pins),
+                tuple(api.Verdict(known[r.server], (r.until_ms - now) * 1_000_000, r.reason)
+                      for r in remembered.verdicts if r.server in known and r.until_ms > now),
+                tuple(api.Pinned(*r[:4], (r.until_ms - now) * 1_000_000) for r in pins),
             )
         )  # fmt: skip
 
     def _remember(self, action: api.Remember) -> None:
-        now_ms, ids = time.time_ns() // 1_000_000, self.servers.ids
+        now, ids = now_ms(), self.servers.ids
         self._remembered = Remembered(
-            [LearnedRow(ids[s.endpoint], s.slow, s.queue, now_ms - s.age_ns // 1_000_000)
+            [LearnedRow(ids[s.endpoint], s.slow, s.queue, now - s.age_ns // 1_000_000)
              for s in action.sightings if s.endpoint in ids],
-            [VerdictRow(ids[v.endpoint], now_ms + v.left_ns // 1_000_000, v.reason)
+            [VerdictRow(ids[v.endpoint], now + v.left_ns // 1_000_000, v.reason)
              for v in action.verdicts if v.endpoint in ids],
         )  # fmt: skip
         self.on_remember()
 
     def _pin(self, action: api.Pin) -> None:
-        until_ms = (time.time_ns() + action.pinned.left_ns) // 1_000_000
+        until_ms = now_ms() + action.pinned.left_ns // 1_000_000
         self.on_pin(PinRow(*action.pinned[:4], until_ms))
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -21,10 +21,12 @@
 from anisespool.operators import Operators
 from anisespool.pair import Pair
 from anisespool.sidecar import Sidecar
+from anisespool.state.epoch import keep, resume
 from anisespool.state.memory import Memory
 from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import Store
 from anisespool.state.warm import WarmStart
+from anisespool.steady import CLOCK
 from shuntlead.interface import Effect, RosterForm
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
@@ -45,6 +47,8 @@
             settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
         )
         self._store = Store.open(config.state_dir, config.name) if config.state_dir else None
+        if self._store:  # Danger: all that is dated below goes by this clock
+            resume(CLOCK, self._store)
         self._pair = Pair(config.folder or config.state_dir, config.name,
                           self._share if config.inherited_fd is not None else None)  # fmt: skip
         legacy = Maintenance.legacy_place(config.folder, config.name)
@@ -90,6 +94,8 @@
         configuration says, and from then on where `moves` does."""
         loop = asyncio.get_running_loop()
         self._pair.look()  # Danger: the other process would not know of an order taken here before this lock
+        if self._store:
+            await keep(CLOCK, self._store)
         await self._maintenance.load()
         self._open_admin()
         known = self._config.known
--- a/anisespool/state/memory.py
+++ b/anisespool/state/memory.py
@@ -15,6 +15,7 @@
 from anisespool.pair import Pair
 from anisespool.state.learned import LearnedRow, PinRow, Remembered, VerdictRow
 from anisespool.state.store import Record, Store, now_ms
+from anisespool.steady import CLOCK
 from shuntlead.interface import Status
 
 SNAPSHOT_S = 1.0  # between two writes of what was learned: the most of it that a crash loses
@@ -40,7 +41,8 @@
             learned = [_learned(r) for r in self._store.records(LEARNED)]
             verdicts = [VerdictRow(r.id, r.until_ms, Status(int(r.body)))
                         for r in self._store.records(VERDICT)]  # fmt: skip
-            self._outside.recall(Remembered(learned, verdicts), self._read_pins())
+            pins = self._read_pins() if CLOCK.is_continued else self._read_pins_of_another_clock()
+            self._outside.recall(Remembered(learned, verdicts), pins)
         except StoreError as error:
             self._complain(str(error))
         except (ValueError, TypeError) as error:
@@ -102,6 +104,13 @@
     def _read_pins(self) -> list[PinRow]:
         return [_pin(record) for record in self._store.records(PIN)]
 
+    def _read_pins_of_another_clock(self) -> list[PinRow]:
+        """Each for as long as it was stored for, from now. Danger: the wall clock may have stepped since, and
+        a pin that is void too early lets a repeat have a second effect."""
+        now = now_ms()
+        return [_pin(record._replace(until_ms=now + max(0, record.until_ms - record.at_ms)))
+                for record in self._store.records(PIN, whenever=True)]  # fmt: skip
+
     def _complain(self, text: str) -> None:
         if text != self._complaint:
             self._complaint = text
--- a/anisespool/state/records.py
+++ b/anisespool/state/records.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from typing import NamedTuple
 
 from anisespool.log import say
+from anisespool.steady import CLOCK
 
 
 class Order(NamedTuple):
@@ -27,7 +27,8 @@
 
 
 def now_ms() -> int:
-    return time.time_ns() // 1_000_000
+    """Unix time by the steady clock, which goes on from one process to the next."""
+    return CLOCK.unix_ms()
 
 
 def log(text: str) -> None:
--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -149,9 +149,18 @@
         async with self._write_lock:
             await asyncio.to_thread(self._transaction, tables.replace_list, head, members)
 
-    def records(self, kind: str) -> list[Record]:
+    def clock_record(self, kind: str, key: str) -> tuple[str | None, int]:
+        """The body of the record that dates the others, whatever its own time, and the time of the latest
+        row (0: none). Raises StoreError."""
+        try:
+            return tables.clock_record(self._reader, self.name, kind, key)
+        except sqlite3.Error as error:
+            raise StoreUnreadable(f"the {kind} record cannot be read: {error}") from None
+
+    def records(self, kind: str, whenever: bool = False) -> list[Record]:
         """This sidecar's records of a kind that still hold. Those of other sidecars, from the future, too old
-        or of no form are left out, in one log line but for the old. Raises StoreError."""
+        or of no form are left out, in one log line but for the old. `whenever`: also those from the future
+        and the old, as their clock may be another. Raises StoreError."""
         try:
             rows = self._reader.execute(
                 "SELECT sidecar, id, at_ms, until_ms, body FROM records WHERE kind = ?", (kind,)
@@ -161,9 +170,9 @@
         now, kept, bad = now_ms(), [], 0
         for sidecar, key, at_ms, until_ms, body in rows:
             formed = isinstance(at_ms, int) and isinstance(until_ms, int) and isinstance(body, str)
-            if sidecar != self.name or not formed or at_ms > now + FUTURE_MS:
+            if sidecar != self.name or not formed or at_ms > now + FUTURE_MS and not whenever:
                 bad += 1
-            elif until_ms > now:
+            elif until_ms > now or whenever:
                 kept.append(Record(kind, str(key), at_ms, until_ms, body))
         if bad:
             log(f"{bad} {kind} records of another sidecar, from the future or of no form left out")
--- a/anisespool/state/tables.py
+++ b/anisespool/state/tables.py
@@ -154,6 +154,19 @@
     connection.execute("DELETE FROM lists WHERE sidecar = ?", (name,))
 
 
+def clock_record(connection: sqlite3.Connection, name: str, kind: str, key: str) -> tuple[str | None, int]:
+    """The body of one record, None where there is none, and the latest time of any record or list."""
+    row = connection.execute(
+        "SELECT body FROM records WHERE sidecar = ? AND kind = ? AND id = ?", (name, kind, key)
+    ).fetchone()
+    latest = connection.execute(
+        "SELECT max(at_ms) FROM (SELECT at_ms FROM records WHERE sidecar = ?1"
+        " UNION ALL SELECT at_ms FROM list_heads WHERE sidecar = ?1)",
+        (name,),
+    ).fetchone()
+    return (str(row[0]) if row else None), (latest[0] if isinstance(latest[0], int) else 0)
+
+
 def put_records(connection: sqlite3.Connection, name: str, records: list[Record]) -> None:
     connection.executemany(
         "INSERT INTO records (sidecar, kind, id, at_ms, until_ms, body) VALUES (?, ?, ?, ?, ?, ?)"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -86,6 +86,7 @@
 
     def __init__(self, folder: Path, relay: Relay) -> None:
         self._folder, self.relay, self._starts = folder, relay, 0
+        self.module, self.env = "anisespool", dict[str, str]()  # what is run, and variables beside its own
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.listen: dict[int, Address] = {}
         self.admin: dict[int, Address] = {}
@@ -120,8 +121,8 @@
         began = asyncio.get_running_loop().time()
         with open(home / "log", "ab") as log:
             self.processes[process] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "anisespool", env=os.environ | env, stderr=log, preexec_fn=limit,
-                pass_fds=kept,
+                sys.executable, "-m", self.module, env=os.environ | self.env | env, stderr=log,
+                preexec_fn=limit, pass_fds=kept,
             )  # fmt: skip
         async with asyncio.timeout(START_S):
             await until_ready(self.admin[process])
--- /dev/null
+++ b/tests/stepped_clock.py
@@ -0,0 +1,44 @@
+"""Runs a sidecar whose wall clock a test steps: by the seconds in the file that $STEP_FILE names, which it
+rewrites while the process runs. Monotonic time goes on as it is, as at a real step."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from pathlib import Path
+
+STEP_FILE = "STEP_FILE"
+_unstepped_ns = time.time_ns
+
+
+def offset_ns() -> int:
+    """Seconds in the file, as ns."""
+    return round(float(Path(os.environ[STEP_FILE]).read_text()) * 1e9)
+
+
+def stepped_ns() -> int:
+    return _unstepped_ns() + offset_ns()
+
+
+class Stepper:
+    """The file, for the test that steps the clock."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / "step"
+        self.step_to(0.0)
+        self.env = {STEP_FILE: str(self._path)}
+
+    def step_to(self, seconds: float) -> None:
+        """From now on the wall clock is so far from the machine's."""
+        written = self._path.with_suffix(".new")
+        written.write_text(str(seconds))
+        os.replace(written, self._path)
+
+
+if __name__ == "__main__":
+    time.time_ns = stepped_ns
+    time.time = lambda: stepped_ns() / 1e9
+    from anisespool.__main__ import main
+
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,143 @@
+"""Steps of the wall clock, either way, under a running sidecar and across its restart: orders, drains, pins
+and told deadlines hold. Real processes, judged by what the servers beside them get."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, closing
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import pytest
+
+from anisespool.state.store import place
+from tests.fleet import Fleet, fleet
+from tests.net import (
+    OK,
+    SLACK_S,
+    Endpoint,
+    TellingDiscovery,
+    exchange,
+    held_until,
+    member,
+    member_list,
+    raw_call,
+    until,
+)
+from tests.stepped_clock import Stepper
+from tests.support import SECOND, raw_settings
+
+STEPS_S = [-3600.0, -5.0, 5.0, 3600.0]
+LONG_WINDOW = [dict(row, **{"dedup-window-ns": 30 * SECOND}) for row in raw_settings()["request-classes"]]
+CALLS = 20  # with even odds, one server in two gets none of them once in a million times
+
+pytestmark = pytest.mark.parametrize("step_s", STEPS_S)
+
+
+@asynccontextmanager
+async def stepped(folder: Path) -> AsyncIterator[tuple[Fleet, Stepper]]:
+    """One sidecar, whose wall clock can be stepped."""
+    stepper = Stepper(folder)
+    async with fleet(folder, 1) as it:
+        it.module, it.env = "tests.stepped_clock", stepper.env
+        yield it, stepper
+
+
+async def served(it: Fleet, *servers: Endpoint, count: int = CALLS) -> list[int]:
+    """How many of so many requests each server gets; all are answered."""
+    before = [len(server.requests) for server in servers]
+    for n in range(count):
+        assert await it.request(0, f"r{n}-{monotonic()}") == 200
+    return [len(server.requests) - had for server, had in zip(servers, before, strict=True)]
+
+
+def stored(home: Path, query: str) -> int:
+    try:
+        with closing(sqlite3.connect(f"file:{place(home, 'n0')}?mode=ro", uri=True)) as connection:
+            row = connection.execute(query).fetchone()
+    except sqlite3.Error:
+        return 0
+    return int(row[0]) if row else 0
+
+
+async def test_orders_given_after_a_step_hold_and_so_they_do_after_a_restart(
+    tmp_path: Path, step_s: float
+) -> None:
+    one, two = Endpoint(OK), Endpoint(OK)
+    async with one.serve(), two.serve(), stepped(tmp_path) as (it, clock):
+        rows = [member("s-0", one.address), member("s-1", two.address)]
+        async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+            await it.start(0, discovery.address, rows)
+            assert (await it.ask(0, "DISABLE s-0")).startswith("SUCCESS")
+            assert (await it.ask(0, "ENABLE s-0")).startswith("SUCCESS")
+            clock.step_to(step_s)
+            assert (await it.ask(0, "DISABLE s-0")).startswith("SUCCESS")
+            assert await served(it, one, two) == [0, CALLS]
+            await it.kill(0)
+            await it.start(0, discovery.address, rows)
+            assert await it.ask(0, "STATE") == "SUCCESS store sailbridge-n0.sqlite schema 2; 1 out: s-0"
+            assert await served(it, one, two) == [0, CALLS]
+            clock.step_to(0.0)
+            assert (await it.ask(0, "ENABLE s-0")).startswith("SUCCESS")
+            assert (await served(it, one, two, count=3 * CALLS))[0] > 0
+            await it.kill(0)
+            await it.start(0, discovery.address, rows)
+            assert (await served(it, one, two, count=3 * CALLS))[0] > 0
+
+
+async def test_what_drained_before_a_step_gets_nothing_after_a_restart_with_discovery_down(
+    tmp_path: Path, step_s: float
+) -> None:
+    drains, stays = Endpoint(OK), Endpoint(OK)
+    async with drains.serve(), stays.serve(), stepped(tmp_path) as (it, clock):
+        rows = [member("s-0", drains.address), member("s-1", stays.address)]
+        later = member_list(3, [rows[0] | {"phase": "draining"}, rows[1]])
+        async with TellingDiscovery(later).serve() as discovery:
+            await it.start(0, discovery.address, rows)
+            await until(lambda: stored(it.home(0), "SELECT revision FROM list_heads") == 3)
+            await it.kill(0)
+        clock.step_to(step_s)
+        await it.start(0, discovery.address, rows)  # which refuses every call now; `known` has both as up
+        assert await served(it, drains, stays) == [0, CALLS]
+
+
+async def test_a_key_stays_in_its_zone_over_a_restart_with_a_step(tmp_path: Path, step_s: float) -> None:
+    release = asyncio.Event()
+    near, far = Endpoint(OK), Endpoint(held_until(release))
+    changes: dict[str, Any] = {"request_classes": LONG_WINDOW}
+    async with near.serve(), far.serve(), stepped(tmp_path) as (it, clock):
+        rows = [member("s-0", near.address), member("s-1", far.address, locality="west")]
+        data = raw_call("keyed", left_ms=2000, headers="Idempotency-Key: it\r\n")
+        draining = [rows[0] | {"phase": "draining"}, rows[1]]
+        async with TellingDiscovery(member_list(2, draining)).serve() as discovery:
+            await it.start(0, discovery.address, draining, **changes)
+            first = asyncio.create_task(exchange(it.listen[0], data))
+            await until(lambda: stored(it.home(0), "SELECT count(*) FROM records WHERE kind = 'pin'") == 1)
+            await until(lambda: len(far.requests) == 1)
+            await it.kill(0)
+            with pytest.raises((OSError, EOFError)):
+                await first
+            release.set()
+            clock.step_to(step_s)
+            discovery.line = member_list(3, rows)
+            await it.start(0, discovery.address, rows, revision=3, **changes)
+            for _ in range(CALLS):
+                assert (await exchange(it.listen[0], data)).status == 200
+            assert not near.requests and len(far.requests) == 1 + CALLS
+
+
+async def test_a_step_moves_no_deadline_of_a_request_that_waits(tmp_path: Path, step_s: float) -> None:
+    silent = Endpoint(held_until(asyncio.Event()))
+    async with silent.serve(), stepped(tmp_path) as (it, clock):
+        rows = [member("s-0", silent.address)]
+        async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+            await it.start(0, discovery.address, rows)
+            began = monotonic()
+            waiting = asyncio.create_task(it.request(0, "r0", left_ms=500))
+            await until(lambda: len(silent.requests) == 1)
+            clock.step_to(step_s)
+            assert await waiting >= 500
+            assert monotonic() - began < 0.5 + SLACK_S
