Date the start of a server by evidence, not by the wall clock of one moment

Root cause: `Names._member` (config.py) dated each start as `up_since_ms` less an epoch fixed when the process started. After a step of the one clock that all machines read, or in a process that started under a stepped one, a server that starts now was dated an hour ago and taken for warm while cold, or in the future and taken for cold for an hour.

Now the driver dates each start once, in `Servers`: by the latest date that has passed of those that the epochs known here give (the steady clock's, and the wall clock's since), and not before discovery's last word without that start, an empty line included. The same start listed again keeps its date, off the list and on it again. A call back dated in the future counts from when it was first heard of. shuntlead/ is as it was.

--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import json
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from anisespool.errors import ConfigError
+from anisespool.steady import CLOCK
 from shuntlead import Settings, SettingsError
 from shuntlead.interface import EndpointState, Listed
 
@@ -29,11 +29,13 @@
 
 
 class Member(NamedTuple):
-    """One entry of discovery's list; `row.endpoint` is still 0, as numbers are the driver's to give."""
+    """One entry of discovery's list; `row.endpoint` is still 0, as numbers are the driver's to give, and
+    `row.started_ns` is by the epoch of the names alone (anisespool/servers.py knows more)."""
 
     id: str
     address: Address
     row: Listed
+    up_since_ms: int = 0  # Unix time, by another machine's wall clock; 0: long ago
 
 
 class MemberList(NamedTuple):
@@ -51,7 +53,7 @@
     tenants: dict[str, int]
     zones: dict[str, int]
     kinds: dict[str, int]
-    epoch_ns: int  # Unix time less monotonic time. Taken once, or one start would look like many
+    epoch_ns: int  # Unix time less monotonic time
 
     def member_list(self, raw: Any) -> MemberList:
         """Discovery's JSON object, checked; ValueError says what is wrong with it."""
@@ -71,7 +73,7 @@
         zone = self.zones.get(raw.get("locality", ""), len(self.zones))
         kind = self.kinds.get(raw.get("flavor", ""), len(self.kinds))
         weight, cell = float(raw.get("size", 1.0)), int(raw.get("cell", 0))
-        return Member(str(raw["id"]), address, Listed(0, weight, cell, kind, zone, state, started))
+        return Member(str(raw["id"]), address, Listed(0, weight, cell, kind, zone, state, started), since_ms)
 
 
 class PeerAddresses(NamedTuple):
@@ -189,9 +191,8 @@
         except (KeyError, TypeError):
             raise ConfigError(f"LB_CONFIG: key settings.{key}: names are needed") from None
 
-    epoch_ns = time.time_ns() - time.monotonic_ns()
     classes, tenants = places("request-classes", True), places("tenants", True)
-    return Names(classes, tenants, places("zones", False), places("skus", False), epoch_ns)
+    return Names(classes, tenants, places("zones", False), places("skus", False), CLOCK.epoch_ns)
 
 
 def _known(names: Names, raw: Any) -> MemberList:
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -42,9 +42,12 @@
         self, address: Address, names: Names, known: MemberList, fleet_size: int, ask_within_ns: int,
         on_list: Callable[[MemberList], None], at_once: bool = False,
         on_raw: Callable[[dict[str, Any], MemberList], None] | None = None,
+        on_word: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
-        """`on_raw`: told of each object as discovery wrote it, after `on_list`."""
+        """`on_raw`: told of each object as discovery wrote it, after `on_list`. `on_word`: after whatever a
+        watch says, be it an empty line, once it has told its list: nothing else has changed until then."""
         self.address, self._names, self._on_list, self._on_raw = address, names, on_list, on_raw
+        self._on_word = on_word
         self.revision = known.revision  # of the list in use
         self._clock = CallClock(fleet_size, ask_within_ns / 1e9)
         self.start_delay_s = self._clock.start_delay(bool(known.members) and not at_once)
@@ -122,6 +125,9 @@
             fault("discovery", UnreadableList(f"a line was skipped: {why}"[:MOST_SHOWN]))
         for raw in found:
             self._take(raw, stream.since)
+            stream.has_told = True
+        if stream.has_told:
+            self._on_word()
 
     def _take(self, raw: dict[str, Any], since: int) -> None:
         """`since`: the revision that the stream was asked for changes after."""
@@ -148,6 +154,7 @@
         self._lines = Lines()
         self._chunks: list[bytes] = []  # of the body, since the last look
         self.spoken = asyncio.Event()  # the body has begun
+        self.has_told = False  # a list, or what changed
         self.task = asyncio.create_task(self._hold())
 
     @property
--- a/anisespool/servers.py
+++ b/anisespool/servers.py
@@ -3,24 +3,31 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterable, Mapping
 
 from anisespool.config import Member, MemberList
 from anisespool.log import say
 from anisespool.peers import shared_id
 from anisespool.state.records import Order
+from anisespool.steady import SteadyClock
 from shuntlead.interface import EndpointState, Listed, RosterForm
 
 MOST_LEFT = 4096  # ids remembered of servers that the list no longer has
 
 
 class Servers:
-    def __init__(self, orders: Mapping[str, Order], epoch_ns: int) -> None:
+    def __init__(
+        self, orders: Mapping[str, Order], epoch_ns: int, clock: SteadyClock | None = None
+    ) -> None:
         """`orders`: what the operators have said of servers, kept up to date by its owner. `epoch_ns`: Unix
-        time less monotonic time."""
-        self._orders, self._epoch_ns = orders, epoch_ns
+        time less monotonic time, of the clock that dates the orders. `clock`: what dates the servers'
+        starts; None leaves them as they were listed."""
+        self._orders, self._epoch_ns, self._clock = orders, epoch_ns, clock
+        self._heard_ns = 0  # monotonic time of discovery's last word; 0: none yet
+        self._called_back: dict[str, tuple[int, int]] = {}  # the order's Unix ms, and monotonic time
         self.members: dict[str, Member] = {}  # as last listed, whatever the operators say
-        self._left: dict[str, None] = {}  # ids that have been listed and are no more, the latest last
+        self._left: dict[str, Member | None] = {}  # have been listed and are no more, the latest last
         self.revision = 0
         self.numbers: dict[str, int] = {}  # id -> its number; one that is gone never returns
         self.ids: dict[int, str] = {}  # the same by the number
@@ -33,10 +40,12 @@
         """Take up a list or a change. The servers that it has, with their rows for the module, and the
         numbers of those that it no longer has."""
         self.revision, gone, rows = update.revision, [], []
+        if self._clock:
+            self._clock.look()
         if form is not RosterForm.DELTA:
             for absent in self.numbers.keys() - {member.id for member in update.members}:
                 gone.append(self._drop(absent))
-        for member in update.members:
+        for member in map(self._dated, update.members):
             number, row = self._number(member), self.ordered(member)
             rows.append((member, row._replace(endpoint=number)))
             if row.state == EndpointState.GONE:
@@ -47,6 +56,23 @@
             (self.ready.add if row.state == EndpointState.READY else self.ready.discard)(number)
         return rows, gone
 
+    def heard(self) -> None:
+        """Discovery has just said all that it has to say. What it tells next has happened since."""
+        self._heard_ns = time.monotonic_ns()
+
+    def _dated(self, member: Member) -> Member:
+        """With the monotonic time of its start. One start has one date, however often it is listed, and
+        whatever became of the wall clock meanwhile. One that is new in the list cannot be older than
+        discovery's last word without it. Danger: dated too early, a cold server passes for warm."""
+        if not member.up_since_ms or self._clock is None:
+            return member
+        known = self.members.get(member.id) or self._left.get(member.id)
+        if known and known.up_since_ms == member.up_since_ms:
+            started_ns = known.row.started_ns
+        else:
+            started_ns = max(1, self._heard_ns, self._clock.passed_ns(member.up_since_ms))
+        return member._replace(row=member.row._replace(started_ns=started_ns))
+
     def _number(self, member: Member) -> int:
         if member.id not in self.numbers:
             self._next_number += 1
@@ -66,13 +92,21 @@
             return row
         if order.out:
             return row._replace(state=EndpointState.DRAINING)
-        return row._replace(started_ns=max(row.started_ns, order.at_ms * 1_000_000 - self._epoch_ns))
+        return row._replace(started_ns=max(row.started_ns, self._called_back_ns(member.id, order)))
+
+    def _called_back_ns(self, member_id: str, order: Order) -> int:
+        """When an order was given, at the latest when it was first heard of here: it may be dated by the
+        clock of another boot."""
+        known = self._called_back.get(member_id)
+        if known is None or known[0] != order.at_ms:
+            at_ns = min(order.at_ms * 1_000_000 - self._epoch_ns, time.monotonic_ns())
+            known = self._called_back[member_id] = order.at_ms, at_ns
+        return known[1]
 
     def _drop(self, member_id: str) -> int:
         number = self.numbers.pop(member_id)
         del self.ids[number]
-        self.members.pop(member_id, None)
-        self._left[member_id] = None
+        self._left[member_id] = self.members.pop(member_id, None)
         if len(self._left) > MOST_LEFT:
             self._left.pop(next(iter(self._left)))
         self.by_shared.pop(self.shared.pop(number), None)
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -67,7 +67,7 @@
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None or settings.discovery == "push",
-            on_raw=self._snapshot.heard if self._snapshot else None,
+            on_raw=self._snapshot.heard if self._snapshot else None, on_word=self._sidecar.servers.heard,
         )  # fmt: skip
         self._beside = BesideRates(self._store, outside) if self._store else None
         self._warm = None
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -17,6 +17,7 @@
 from anisespool.peers import Peers
 from anisespool.servers import Servers
 from anisespool.state.records import Order
+from anisespool.steady import CLOCK
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
@@ -30,7 +31,7 @@
         self, config: Config, endpoints: Endpoints, orders: Mapping[str, Order] | None = None
     ) -> None:
         """`orders`: what the operators have said of servers, kept up to date by its owner."""
-        self.servers = Servers({} if orders is None else orders, config.names.epoch_ns)
+        self.servers = Servers({} if orders is None else orders, CLOCK.epoch_ns, CLOCK)
         self._balancer = Balancer(config.settings, config.seed)
         self._endpoints = endpoints
         self._exchanges = Exchanges()
