Read tenants' reports of a peer whose clock is another by that clock

Root cause: reports carry stamps of the sender's clock, and `FleetState._on_rates` (fleet/shared.py) takes their age by the receiver's. Where the two differ by an hour, as after a step of one of them, or between a sidecar that went on over a step and one that is new since, each report is an hour old or from the future, and dropped for as long as both run: each then guesses the fleet's rate by its own.

Now a peer whose datagrams are all impossibly early or late for 2 s is read by its own clock. What lay unread in a stopped process is followed by timely datagrams, and stays old. The form on the wire is as it was.

--- a/anisespool/fleet/shared.py
+++ b/anisespool/fleet/shared.py
@@ -4,8 +4,10 @@
 from __future__ import annotations
 
 import struct
+import time
 from collections.abc import Sequence
 
+from anisespool.fleet.offsets import HALF_RANGE_MS, Offsets, behind_ms
 from anisespool.outside import Outside
 from anisespool.peers import MAX_DATAGRAM, Peers
 from anisespool.steady import CLOCK
@@ -19,7 +21,7 @@
 
 
 def clock_ms() -> int:
-    """Of the one clock that all machines read."""
+    """Unix time; of the one clock that all machines read, as far as it has not stepped."""
     return CLOCK.unix_ms()
 
 
@@ -33,7 +35,7 @@
     """Hands the module what peers tell of tenants and servers, and tells them what it decides to."""
 
     def __init__(self, peers: Peers, outside: Outside) -> None:
-        self._peers, self._outside = peers, outside
+        self._peers, self._outside, self._offsets = peers, outside, Offsets()
         peers.handle(OUT, self._on_verdicts)
         peers.handle(RATES, self._on_rates)
         outside.on_verdicts, outside.on_reports = self._tell_verdicts, self._tell_rates
@@ -54,7 +56,11 @@
         return True
 
     def _on_rates(self, sender: int, data: bytes) -> bool:
-        reports = decode_reports(data, clock_ms())
+        now_ms = clock_ms()
+        shifted = decode_reports(data, now_ms + HALF_RANGE_MS)
+        if shifted:
+            now_ms -= self._offsets.offset_ms(sender, behind_ms(shifted), time.monotonic())
+        reports = decode_reports(data, now_ms)
         if reports is not None:
             self._outside.tenant_reports(reports)
         return reports is not None
