--- a/tests/test_clock_starts.py
+++ b/tests/test_clock_starts.py
@@ -6,6 +6,7 @@
 import time
 from pathlib import Path
 from time import monotonic_ns
+from typing import Any
 
 import pytest
 
@@ -56,6 +57,33 @@
     assert len(arrived) <= allowed + chance
 
 
+@pytest.mark.parametrize(
+    ("step_s", "everywhere", "restarts"), [(-3600.0, False, True), (3600.0, True, False)]
+)
+async def test_a_server_that_starts_after_a_step_is_warm_in_its_time(
+    tmp_path: Path, step_s: float, everywhere: bool, restarts: bool
+) -> None:
+    """Danger: dated in the future by the step, it would stay cold for an hour."""
+    changes: dict[str, Any] = {"guarantees__cold_ns": SECOND}
+    warm, cold = Endpoint(slowly), Endpoint(slowly)
+    async with warm.serve(), cold.serve(), stepped(tmp_path) as (it, clock):
+        rows = [member("s-0", warm.address)]
+        async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+            await it.start(0, discovery.address, rows, **changes)
+            clock.step_to(step_s)
+            if restarts:
+                await it.kill(0)
+                await it.start(0, discovery.address, rows, **changes)
+            await load(it, 0, PER_S, LEARN_S)
+            born_ms = round((time.time() + (step_s if everywhere else 0.0)) * 1000)
+            discovery.say(member_list(3, [member("c-0", cold.address, up_since_ms=born_ms)], False))
+            await load(it, 0, PER_S, 1.5)
+            before = len(warm.requests), len(cold.requests)
+            await load(it, 0, PER_S, COLD_S)
+            got = len(warm.requests) - before[0], len(cold.requests) - before[1]
+    assert got[1] > got[0] / 2, got
+
+
 class Clock:
     """The wall clocks, of this machine and of the others, as the test steps them."""
 
