Take an order from the future as one order, and let a later one win over it everywhere

Root cause: `tables.checked` took an order from the future (by the clock of another boot, or before a step back) as of now at each read, while `tables.order` dated the next one after the raw time. In an upgrade the process that gave an order held it under the raw time, and the other's later order, read as of now, lost against it: a server that is out went on getting requests there. And each read made another order of the same row, so that a call back was another restart each time.

Now such a row is taken as of its first read, for good, and the order after it is of the clock as it is now.

--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -59,6 +59,7 @@
         self._write_lock = asyncio.Lock()
         self._writing = threading.Lock()  # held by the thread that writes: its task may be cancelled before
         self._versions: dict[str, int] = {}  # by who looks
+        self._orders_ahead: dict[tuple[str, int], int] = {}  # as tables.checked keeps them
 
     @classmethod
     def open(cls, folder: Path, name: str) -> Store | None:
@@ -108,12 +109,12 @@
 
     def orders(self) -> dict[str, Order]:
         """This sidecar's orders, checked: rows of other sidecars are left out and rows from the future are
-        taken as of now, each kind in one log line. Raises StoreError."""
+        taken as of the first read, each kind in one log line. Raises StoreError."""
         try:
             rows = self._reader.execute("SELECT sidecar, server, out, at_ms FROM orders").fetchall()
         except sqlite3.Error as error:
             raise StoreUnreadable(f"the orders cannot be read: {error}") from None
-        return tables.checked(rows, self.name, now_ms())
+        return tables.checked(rows, self.name, now_ms(), self._orders_ahead)
 
     async def order(self, server: str, out: bool) -> Order | None:
         """Store that `server` is out or called back, once it is durable; the order that holds, or None where
--- a/anisespool/state/tables.py
+++ b/anisespool/state/tables.py
@@ -64,14 +64,21 @@
     )
 
 
-def checked(rows: list[tuple[object, ...]], name: str, now: int) -> dict[str, Order]:
+def checked(
+    rows: list[tuple[object, ...]], name: str, now: int, ahead: dict[tuple[str, int], int]
+) -> dict[str, Order]:
+    """The orders of this sidecar at `now`, Unix ms. `ahead`: those from the future, by server and time, and
+    when each was first read; kept up here. Danger: one that is of now at each read would be another order
+    each time, and its call back another restart."""
     orders, foreign, future = {}, 0, 0
     for sidecar, server, out, at_ms in rows:
         if sidecar != name or not isinstance(server, str) or not isinstance(at_ms, int):
             foreign += 1
             continue
-        if at_ms > now + FUTURE_MS:
-            future, at_ms = future + 1, now
+        key = server, at_ms
+        if at_ms > now + FUTURE_MS or key in ahead:
+            future += key not in ahead
+            at_ms = ahead.setdefault(key, now)
         orders[server] = Order(bool(out), at_ms)
     if foreign:
         log(f"{foreign} records of another sidecar or of no form left out")
@@ -86,10 +93,12 @@
     ).fetchone()
     if row is not None and bool(row[0]) == out:
         return None
-    order = Order(out, max(now_ms(), row[1] + 1 if row else 0))  # later than the last, whatever the clock
+    now = now_ms()
+    last = row[1] if row and row[1] <= now + FUTURE_MS else 0  # from the future: it is read as of before now
+    order = Order(out, max(now + 1, last + 1))  # later than the last, whatever the clock
     _put(connection, name, {server: order})
     connection.execute(
-        "DELETE FROM orders WHERE sidecar = ? AND out = 0 AND at_ms < ?", (name, now_ms() - CALL_BACK_KEPT_MS)
+        "DELETE FROM orders WHERE sidecar = ? AND out = 0 AND at_ms < ?", (name, now - CALL_BACK_KEPT_MS)
     )
     return order
 
