Test that a pin holds its window where the boot cannot be told

Without the rule that the stored pins run their whole window again, the steps of an hour failed: the repeat of a key went to the other zone.

--- a/tests/stepped_clock.py
+++ b/tests/stepped_clock.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 STEP_FILE = "STEP_FILE"
+NO_BOOT_ID = "NO_BOOT_ID"  # set: the kernel's id of the boot cannot be read
 _unstepped_ns = time.time_ns
 
 
@@ -40,5 +41,8 @@
     time.time_ns = stepped_ns
     time.time = lambda: stepped_ns() / 1e9
     from anisespool.__main__ import main
+    from anisespool.state import epoch
 
+    if os.environ.get(NO_BOOT_ID):
+        epoch.BOOT_ID = Path(os.environ[STEP_FILE] + ".none")
     sys.exit(main())
