Test that two processes of an upgrade follow each other's orders over a step between their starts

On the code before, a step back by an hour after earlier orders: the second process held its own order against the first's later one (`1 out: s-0` after ENABLE there).

--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -46,11 +46,11 @@
         yield it, stepper
 
 
-async def served(it: Fleet, *servers: Endpoint, count: int = CALLS) -> list[int]:
+async def served(it: Fleet, *servers: Endpoint, count: int = CALLS, process: int = 0) -> list[int]:
     """How many of so many requests each server gets, a second attempt there not counted; all are answered."""
     before = [len(server.requests) for server in servers]
     for n in range(count):
-        assert await it.request(0, f"r{n}-{monotonic()}") == 200
+        assert await it.request(process, f"r{n}-{monotonic()}") == 200
     return [
         len({request.headers[b"x-trace-id"] for request in server.requests[had:]})
         for server, had in zip(servers, before, strict=True)
@@ -148,3 +148,25 @@
             clock.step_to(step_s)
             assert await waiting >= 500
             assert monotonic() - began < 0.5 + SLACK_S
+
+
+async def test_two_processes_of_an_upgrade_with_a_step_between_their_starts_follow_each_others_orders(
+    tmp_path: Path, step_s: float
+) -> None:
+    one, two = Endpoint(OK), Endpoint(OK)
+    async with one.serve(), two.serve(), stepped(tmp_path) as (it, clock):
+        rows = [member("s-0", one.address), member("s-1", two.address)]
+        async with TellingDiscovery(member_list(2, rows)).serve() as discovery:
+            await it.start(0, discovery.address, rows)
+            for order in ("DISABLE s-0", "ENABLE s-0"):
+                assert (await it.ask(0, order)).startswith("SUCCESS")
+            clock.step_to(step_s)
+            await it.start(9, discovery.address, rows, beside=0)
+            for process, other in ((0, 9), (9, 0)):
+                assert (await it.ask(process, "DISABLE s-0")).startswith("SUCCESS")
+                assert (await it.ask(other, "STATE")).endswith("1 out: s-0")
+                assert await served(it, one, two, process=other) == [0, CALLS]
+                assert (await it.ask(other, "ENABLE s-0")).startswith("SUCCESS")
+                assert (await it.ask(process, "STATE")).endswith("0 out:")
+            assert (await it.ask(0, "DISABLE s-0")).startswith("SUCCESS")
+            assert await served(it, one, two, process=9) == [0, CALLS]
