--- a/anisespool/discovery/stream.py
+++ b/anisespool/discovery/stream.py
@@ -39,6 +39,7 @@
         read. `on_change`: the head has come, or the stream has ended. `make_room` frees a descriptor."""
         self.address, self.since = address, since
         self.began_s = self.last_byte_s = time.monotonic()
+        self.has_told = False  # a list, or what changed
         self.head_s: float | None = None  # when the head of a watch had come
         self.failure = Failure.UNREACHABLE  # what its end shows, if it ends now
         self._on_news, self._on_change, self._make_room = on_news, on_change, make_room
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -24,10 +24,12 @@
 from anisespool.pair import Pair
 from anisespool.sidecar import Sidecar
 from anisespool.sockets import callback_failed
+from anisespool.state.epoch import keep, resume
 from anisespool.state.memory import Memory
 from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import Store
 from anisespool.state.warm import WarmStart
+from anisespool.steady import CLOCK
 from shuntlead.interface import Effect, RosterForm
 
 BUFFERS_PART = 8  # of the memory, for long bodies on their way
@@ -47,6 +49,8 @@
             settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
         )
         self._store = Store.attach(config.state_dir, config.name) if config.state_dir else None
+        if self._store:  # all that is dated below goes by this clock
+            resume(CLOCK, self._store)
         self._pair = Pair(config.folder or config.state_dir, config.name,
                           self._share if config.inherited_fd is not None else None)  # fmt: skip
         legacy = Maintenance.legacy_place(config.folder, config.name)
@@ -66,7 +70,7 @@
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None or settings.discovery == "push",
-            on_raw=self._snapshot.heard if self._snapshot else None,
+            on_raw=self._snapshot.heard if self._snapshot else None, on_word=self._sidecar.servers.heard,
         )  # fmt: skip
         self._watch.make_room = self._server.make_room
         self._beside = BesideRates(self._store, outside) if self._store else None
@@ -95,6 +99,8 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(callback_failed)
         self._pair.look()  # Danger: the other process would not know of an order taken here before this lock
+        if self._store:
+            await keep(CLOCK, self._store)
         await self._maintenance.load()
         self._open_admin()
         known = self._config.known
--- a/anisespool/state/memory.py
+++ b/anisespool/state/memory.py
@@ -15,6 +15,7 @@
 from anisespool.state.learned import LearnedRow, PinRow, Remembered, VerdictRow
 from anisespool.state.owed import OwedRecords, OwedWrite
 from anisespool.state.store import Record, Store, now_ms
+from anisespool.steady import CLOCK
 from shuntlead.interface import Status
 
 SNAPSHOT_S = 1.0  # between two writes of what was learned: the most of it that a crash loses
@@ -36,6 +37,7 @@
         self._ejected = asyncio.Event()
         self._complaint = ""
         outside.on_pin, outside.on_remember = self.pin, self._ejected.set
+        self._has_loaded = False  # from then on all records are by this process's clock
         store.on_new_file.append(self.load)
 
     @property
@@ -57,7 +59,10 @@
             learned = [_learned(r) for r in self._store.records(LEARNED)]
             verdicts = [VerdictRow(r.id, r.until_ms, Status(int(r.body)))
                         for r in self._store.records(VERDICT)]  # fmt: skip
-            self._outside.recall(Remembered(learned, verdicts), self._read_pins())
+            is_same_clock = CLOCK.is_continued or self._has_loaded
+            pins = self._read_pins() if is_same_clock else self._read_pins_of_another_clock()
+            self._has_loaded = True
+            self._outside.recall(Remembered(learned, verdicts), pins)
         except (ValueError, TypeError) as error:
             self._complain(f"what was learned is left out, a record has another form: {error}")
 
@@ -115,6 +120,13 @@
         """But for those that this process has bound for longer since, which it does not have to unlearn."""
         return [_pin(record) for record in self._store.records(PIN) if not self._pins.has_later(record)]
 
+    def _read_pins_of_another_clock(self) -> list[PinRow]:
+        """Each for as long as it was stored for, from now. Danger: the wall clock may have stepped since, and
+        a pin that is void too early lets a repeat have a second effect."""
+        now = now_ms()
+        return [_pin(record._replace(until_ms=now + max(0, record.until_ms - record.at_ms)))
+                for record in self._store.records(PIN, whenever=True)]  # fmt: skip
+
     def _complain(self, text: str) -> None:
         if text != self._complaint:
             self._complaint = text
--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -12,14 +12,12 @@
 The list stored is at any time the whole list of one revision, as one process heard it. Its etag is a digest
 of its content. A change writes its rows and the new etag in one transaction, and only over the etag of the
 list that it changes; where it is another (the other process of an upgrade has heard more or less, or the file
-was made anew), and after a write that failed, the whole list goes in its place. Where the other process has
-written the same already, no row is written. Earlier releases kept the list in one piece, in
-`lists(sidecar, revision, at_ms, body)`: that is read where its revision is later (an upgrade from one, or a
-downgrade and an upgrade again), and each write of the new form takes it out, so that an earlier release
-starts from the configuration's list rather than from an old one.
+was made anew), and after a write that failed, the whole list goes in its place. Earlier releases kept it in
+one piece, in `lists(sidecar, revision, at_ms, body)`: that is read where its revision is later, and each
+write of the new form takes it out, so that an earlier release starts from the configuration's list.
 
 Nothing here ends a sidecar: a store that cannot be opened, is damaged, of another version, or made the last
-starts crash is logged in one line, set aside where it is a file, and the sidecar runs from nothing.
+starts crash is logged, set aside where it is a file, and the sidecar runs from nothing.
 """
 
 from __future__ import annotations
@@ -55,8 +53,7 @@
     commit's fsync or the other process's lock never holds up a request.
 
     A store that cannot be opened reads as an empty one, and each write tries to open it. One whose write
-    failed, but for a lock, is opened anew by the next write: its connections may never recover, as those
-    that were opened while the file system was read-only."""
+    failed, but for a lock, is opened anew by the next write: its connections may never recover."""
 
     def __init__(self, path: Path, name: str) -> None:
         self.path, self.name = path, name
@@ -70,6 +67,7 @@
         self._write_lock = asyncio.Lock()
         self._writing = threading.Lock()  # held by the thread that writes: its task may be cancelled before
         self._versions: dict[str, int] = {}  # by who looks
+        self._orders_ahead: dict[tuple[str, int], int] = {}  # as tables.checked keeps them
 
     @classmethod
     def attach(cls, folder: Path, name: str) -> Self:
@@ -111,14 +109,14 @@
 
     def orders(self) -> dict[str, Order]:
         """This sidecar's orders, checked: rows of other sidecars are left out and rows from the future are
-        taken as of now, each kind in one log line. Raises StoreError."""
+        taken as of the first read, each kind in one log line. Raises StoreError."""
         if not self.is_open:
             return {}
         try:
             rows = self._reader.execute("SELECT sidecar, server, out, at_ms FROM orders").fetchall()
         except sqlite3.Error as error:
             raise StoreUnreadable(f"the orders cannot be read: {error}") from None
-        return tables.checked(rows, self.name, now_ms())
+        return tables.checked(rows, self.name, now_ms(), self._orders_ahead)
 
     async def order(
         self, server: str, out: bool, owed: Mapping[str, Order] = MappingProxyType({})
@@ -155,9 +153,20 @@
         """Keep the whole list, whatever was stored: the entries by server. Raises StoreError."""
         await self._write(tables.replace_list, head, members)
 
-    def records(self, kind: str) -> list[Record]:
+    def clock_record(self, kind: str, key: str) -> tuple[str | None, int]:
+        """The body of the record that dates the others, whatever its own time, and the time of the latest
+        row (0: none). Raises StoreError."""
+        if not self.is_open:
+            return None, 0
+        try:
+            return tables.clock_record(self._reader, self.name, kind, key)
+        except sqlite3.Error as error:
+            raise StoreUnreadable(f"the {kind} record cannot be read: {error}") from None
+
+    def records(self, kind: str, whenever: bool = False) -> list[Record]:
         """This sidecar's records of a kind that still hold. Those of other sidecars, from the future, too old
-        or of no form are left out, in one log line but for the old. Raises StoreError."""
+        or of no form are left out, in one log line but for the old. `whenever`: also those from the future
+        and the old, as their clock may be another. Raises StoreError."""
         if not self.is_open:
             return []
         try:
@@ -169,9 +178,9 @@
         now, kept, bad = now_ms(), [], 0
         for sidecar, key, at_ms, until_ms, body in rows:
             formed = isinstance(at_ms, int) and isinstance(until_ms, int) and isinstance(body, str)
-            if sidecar != self.name or not formed or at_ms > now + FUTURE_MS:
+            if sidecar != self.name or not formed or at_ms > now + FUTURE_MS and not whenever:
                 bad += 1
-            elif until_ms > now:
+            elif until_ms > now or whenever:
                 kept.append(Record(kind, str(key), at_ms, until_ms, body))
         if bad:
             log(f"{bad} {kind} records of another sidecar, from the future or of no form left out")
--- a/anisespool/state/tables.py
+++ b/anisespool/state/tables.py
@@ -65,14 +65,21 @@
     )
 
 
-def checked(rows: list[tuple[object, ...]], name: str, now: int) -> dict[str, Order]:
+def checked(
+    rows: list[tuple[object, ...]], name: str, now: int, ahead: dict[tuple[str, int], int]
+) -> dict[str, Order]:
+    """The orders of this sidecar at `now`, Unix ms. `ahead`: those from the future, by server and time, and
+    when each was first read; kept up here. Danger: one that is of now at each read would be another order
+    each time, and its call back another restart."""
     orders, foreign, future = {}, 0, 0
     for sidecar, server, out, at_ms in rows:
         if sidecar != name or not isinstance(server, str) or not isinstance(at_ms, int):
             foreign += 1
             continue
-        if at_ms > now + FUTURE_MS:
-            future, at_ms = future + 1, now
+        key = server, at_ms
+        if at_ms > now + FUTURE_MS or key in ahead:
+            future += key not in ahead
+            at_ms = ahead.setdefault(key, now)
         orders[server] = Order(bool(out), at_ms)
     if foreign:
         log(f"{foreign} records of another sidecar or of no form left out")
@@ -91,7 +98,9 @@
     ).fetchone()
     if row is not None and bool(row[0]) == out:
         return None
-    order = Order(out, max(now_ms(), row[1] + 1 if row else 0))  # later than the last, whatever the clock
+    now = now_ms()
+    last = row[1] if row and row[1] <= now + FUTURE_MS else 0  # from the future: it is read as of before now
+    order = Order(out, max(now + 1, last + 1))  # later than the last, whatever the clock
     _put(connection, name, {server: order})
     return order
 
@@ -156,6 +165,19 @@
     connection.execute("DELETE FROM lists WHERE sidecar = ?", (name,))
 
 
+def clock_record(connection: sqlite3.Connection, name: str, kind: str, key: str) -> tuple[str | None, int]:
+    """The body of one record, None where there is none, and the latest time of any record or list."""
+    row = connection.execute(
+        "SELECT body FROM records WHERE sidecar = ? AND kind = ? AND id = ?", (name, kind, key)
+    ).fetchone()
+    latest = connection.execute(
+        "SELECT max(at_ms) FROM (SELECT at_ms FROM records WHERE sidecar = ?1"
+        " UNION ALL SELECT at_ms FROM list_heads WHERE sidecar = ?1)",
+        (name,),
+    ).fetchone()
+    return (str(row[0]) if row else None), (latest[0] if isinstance(latest[0], int) else 0)
+
+
 def put_records(connection: sqlite3.Connection, name: str, records: list[Record]) -> None:
     connection.executemany(
         "INSERT INTO records (sidecar, kind, id, at_ms, until_ms, body) VALUES (?, ?, ?, ?, ?, ?)"
