--- a/tests/test_clock_starts.py
+++ b/tests/test_clock_starts.py
@@ -63,8 +63,8 @@
 async def test_a_server_that_starts_after_a_step_is_warm_in_its_time(
     tmp_path: Path, step_s: float, everywhere: bool, restarts: bool
 ) -> None:
-    """Danger: dated in the future by the step, it would stay cold for an hour."""
-    changes: dict[str, Any] = {"guarantees__cold_ns": SECOND}
+    """Danger: dated in the future by the step, it would stay cold for an hour, and get next to nothing."""
+    changes: dict[str, Any] = {"guarantees__cold_ns": SECOND, "guarantees__start_capacity": 0.02}
     warm, cold = Endpoint(slowly), Endpoint(slowly)
     async with warm.serve(), cold.serve(), stepped(tmp_path) as (it, clock):
         rows = [member("s-0", warm.address)]
@@ -81,7 +81,8 @@
             before = len(warm.requests), len(cold.requests)
             await load(it, 0, PER_S, COLD_S)
             got = len(warm.requests) - before[0], len(cold.requests) - before[1]
-    assert got[1] > got[0] / 2, got
+    print(f"{got} requests to the warm server and to the one that was cold")
+    assert got[1] > got[0] / 8, got
 
 
 class Clock:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -133,7 +133,7 @@
             await it.start(0, discovery.address, rows, revision=3, **changes)
             for _ in range(CALLS):
                 assert (await exchange(it.listen[0], data)).status == 200
-            assert not near.requests and len(far.requests) == 1 + CALLS
+            assert not near.requests and len(far.requests) >= 1 + CALLS  # more by second attempts
 
 
 async def test_a_step_moves_no_deadline_of_a_request_that_waits(tmp_path: Path, step_s: float) -> None:
