--- a/anisespool/state/snapshot.py
+++ b/anisespool/state/snapshot.py
@@ -39,9 +39,7 @@
         self._etag = ""  # of the stored list that `_members` is, but for `_changed`; "": of none
         self._has_news = False  # `_members` is more than the configuration's list
         self._changed: dict[str, Entry | None] = {}  # None: gone
-        self._owed = OwedWrite(
-            "state", "the list is not stored", "the list is stored again", self._write
-        )
+        self._owed = OwedWrite("state", "the list is not stored", "the list is stored again", self._write)
         store.on_new_file.append(self._new_file)
 
     def loaded(self, names: Names, known: MemberList) -> MemberList:
--- a/anisespool/state/tables.py
+++ b/anisespool/state/tables.py
@@ -20,9 +20,7 @@
 
 def connect(path: Path) -> sqlite3.Connection:
     """One that any thread may use, one at a time."""
-    connection = sqlite3.connect(
-        path, timeout=BUSY_MS / 1000, isolation_level=None, check_same_thread=False
-    )
+    connection = sqlite3.connect(path, timeout=BUSY_MS / 1000, isolation_level=None, check_same_thread=False)
     connection.execute("PRAGMA synchronous=FULL")
     return connection
 
