--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -88,8 +88,7 @@
         return it if it.is_open else None
 
     def close(self) -> None:
-        """Once a write that is under way has ended. Danger: it goes on in its thread though its task was
-        cancelled, and a connection closed under it ends the process by SIGSEGV."""
+        """Once a write that is under way has ended: a connection closed under it ends the process by SIGSEGV."""
         with self._writing:
             self._closed = True
             for name in ("_reader", "_writer", "_next_reader"):
