--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -15,6 +15,7 @@
 from anisespool.front.place import Front
 from anisespool.front.reading import ClientReading
 from anisespool.front.waits import Waits
+from anisespool.sockets import end_output
 
 MOST_PIPELINED = 8  # requests read ahead on one connection
 READ_NS = 1_000_000  # a request that waited no longer has not waited
@@ -60,7 +61,7 @@
             return
         now, began, in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
         self._waits.heard(now / 1e9)
-        came = self._came_ns(now)
+        came = self._came_ns(now, nbytes)
         self._queue.extend((request, came) for request in self._parser.feed(read_buffer[:nbytes]))
         if self._parser.partial and not began:
             self._waits.request_begins(now / 1e9, self._served)
@@ -245,5 +246,5 @@
         if self._transport:
             self._transport.write(data)
             self._resume_reading()
-            self._transport.write_eof()
+            end_output(self._transport)
             asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -23,13 +23,17 @@
 from anisespool.operators import Operators
 from anisespool.pair import Pair
 from anisespool.sidecar import Sidecar
+from anisespool.sockets import callback_failed
+from anisespool.state.epoch import keep, resume
 from anisespool.state.memory import Memory
 from anisespool.state.snapshot import ListSnapshot
 from anisespool.state.store import Store
 from anisespool.state.warm import WarmStart
+from anisespool.steady import CLOCK
 from shuntlead.interface import Effect, RosterForm
 
 BUFFERS_PART = 8  # of the memory, for long bodies on their way
+CANCEL_S = 0.2  # for the tasks to end that were cancelled
 LIST_WAIT_S = 3.0  # a new process of an upgrade has 6 s to say that it is ready
 PUSHED_WAIT_S = 1.0  # for what the agent has: it counts as told from a process's first moment
 ADMIN_BACKLOG = 128
@@ -44,7 +48,9 @@
         self._endpoints = Endpoints(
             settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
         )
-        self._store = Store.open(config.state_dir, config.name) if config.state_dir else None
+        self._store = Store.attach(config.state_dir, config.name) if config.state_dir else None
+        if self._store:  # all that is dated below goes by this clock
+            resume(CLOCK, self._store)
         self._pair = Pair(config.folder or config.state_dir, config.name,
                           self._share if config.inherited_fd is not None else None)  # fmt: skip
         legacy = Maintenance.legacy_place(config.folder, config.name)
@@ -55,6 +61,7 @@
         self._operators = Operators(config, self._sidecar, self._maintenance)
         buffers = config.memory_bytes // BUFFERS_PART
         self._server = Server(self._sidecar, config.names, settings, clients, buffers)
+        self._endpoints.make_room = self._server.make_room
         self._snapshot = ListSnapshot(self._store, config.known_members) if self._store else None
         outside = self._sidecar.outside
         # Keys that have to be kept: where all servers drop a repeat, any of them may get it.
@@ -63,8 +70,9 @@
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None or settings.discovery == "push",
-            on_raw=self._snapshot.heard if self._snapshot else None,
+            on_raw=self._snapshot.heard if self._snapshot else None, on_word=self._sidecar.servers.heard,
         )  # fmt: skip
+        self._watch.make_room = self._server.make_room
         self._beside = BesideRates(self._store, outside) if self._store else None
         self._warm = None
         if self._sidecar.peers:
@@ -89,6 +97,7 @@
         """Until `stop` is set and all that was taken is answered. Discovery is watched where the
         configuration says, and from then on where `moves` does."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(callback_failed)
         self._pair.look()  # Danger: the other process would not know of an order taken here before this lock
         await self._maintenance.load()
         self._open_admin()
@@ -101,6 +110,8 @@
         works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
                  log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
         works += [self._pair.follow(), self._maintenance.follow()]
+        if self._store:
+            works.append(keep(CLOCK, self._store))  # no start waits for the disk
         if self._snapshot:
             works.append(self._snapshot.follow())
         if self._memory:
@@ -130,10 +141,17 @@
         await self._server.stop(shutdown)
         for task in tasks:
             task.cancel()
+        await asyncio.wait(tasks, timeout=CANCEL_S)  # so that none is still at a write that it will not end
+        await self._flush()
         self._admin.close()
         if self._store:
             self._store.close()
 
+    async def _flush(self) -> None:
+        """What is still owed to the store, in a last attempt."""
+        owners = (self._maintenance, self._snapshot, self._memory)
+        await asyncio.gather(*(owner.flush() for owner in owners if owner))
+
     def _share(self, two: bool) -> None:
         """In an upgrade the limits are for both processes together."""
         say("upgrade", "two processes share the limits" if two else "one process")
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -16,6 +16,7 @@
 from anisespool.peers import Peers
 from anisespool.servers import Servers
 from anisespool.state.records import Order
+from anisespool.steady import CLOCK
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
@@ -26,7 +27,7 @@
         self, config: Config, endpoints: Endpoints, orders: Mapping[str, Order] | None = None
     ) -> None:
         """`orders`: what the operators have said of servers, kept up to date by its owner."""
-        self.servers = Servers({} if orders is None else orders, config.names.epoch_ns)
+        self.servers = Servers({} if orders is None else orders, CLOCK.epoch_ns, CLOCK)
         self.decisions = Decisions(Balancer(config.settings, config.seed), self._handled, self._give_up)
         self._endpoints = endpoints
         self._exchanges = Exchanges()
@@ -98,20 +99,19 @@
 
     def _apply(self, update: MemberList, form: RosterForm) -> tuple[api.Listed, ...]:
         rows, gone = self.servers.apply(update, form)
-        for number in gone:
-            self._endpoints.remove(number)
         for member, row in rows:
             if row.state != EndpointState.GONE:
                 up = row.state == EndpointState.READY
                 self._endpoints.update(row.endpoint, member.id, member.address, row.started_ns, up)
+        for number in gone:  # last, as one line may have a server both up and gone
+            self._endpoints.remove(number)
         return tuple(row for _, row in rows)
 
     def orders_changed(self, member_ids: Iterable[str]) -> None:
         """By the operators. As a change of the list: attempts that wait for a connection are placed anew."""
-        known = self.servers.members
-        members = tuple(known[m] for m in member_ids if m in known)
-        if members:
-            self.listed(MemberList(self.servers.revision, False, members))
+        update, form = self.servers.reordered(member_ids)
+        if update.members:
+            self.listed(update, form)
 
     # The module -----------------------------------------------------------------------------------
 
--- a/anisespool/state/tables.py
+++ b/anisespool/state/tables.py
@@ -18,10 +18,9 @@
 CALL_BACK_KEPT_MS = 3_600_000  # a call back is of no more use once its server is warm
 
 
-def connect(path: Path, check_same_thread: bool) -> sqlite3.Connection:
-    connection = sqlite3.connect(
-        path, timeout=BUSY_MS / 1000, isolation_level=None, check_same_thread=check_same_thread
-    )
+def connect(path: Path) -> sqlite3.Connection:
+    """One that any thread may use, one at a time."""
+    connection = sqlite3.connect(path, timeout=BUSY_MS / 1000, isolation_level=None, check_same_thread=False)
     connection.execute("PRAGMA synchronous=FULL")
     return connection
 
@@ -64,14 +63,21 @@
     )
 
 
-def checked(rows: list[tuple[object, ...]], name: str, now: int) -> dict[str, Order]:
+def checked(
+    rows: list[tuple[object, ...]], name: str, now: int, ahead: dict[tuple[str, int], int]
+) -> dict[str, Order]:
+    """The orders of this sidecar at `now`, Unix ms. `ahead`: those from the future, by server and time, and
+    when each was first read; kept up here. Danger: one that is of now at each read would be another order
+    each time, and its call back another restart."""
     orders, foreign, future = {}, 0, 0
     for sidecar, server, out, at_ms in rows:
         if sidecar != name or not isinstance(server, str) or not isinstance(at_ms, int):
             foreign += 1
             continue
-        if at_ms > now + FUTURE_MS:
-            future, at_ms = future + 1, now
+        key = server, at_ms
+        if at_ms > now + FUTURE_MS or key in ahead:
+            future += key not in ahead
+            at_ms = ahead.setdefault(key, now)
         orders[server] = Order(bool(out), at_ms)
     if foreign:
         log(f"{foreign} records of another sidecar or of no form left out")
@@ -80,17 +86,20 @@
     return orders
 
 
-def order(connection: sqlite3.Connection, name: str, server: str, out: bool) -> Order | None:
+def order(
+    connection: sqlite3.Connection, name: str, server: str, out: bool, owed: Mapping[str, Order]
+) -> Order | None:
+    """`owed`: orders that hold already and are not stored yet. They go first: this one is later."""
+    merge(connection, name, owed)
     row = connection.execute(
         "SELECT out, at_ms FROM orders WHERE sidecar = ? AND server = ?", (name, server)
     ).fetchone()
     if row is not None and bool(row[0]) == out:
         return None
-    order = Order(out, max(now_ms(), row[1] + 1 if row else 0))  # later than the last, whatever the clock
+    now = now_ms()
+    last = row[1] if row and row[1] <= now + FUTURE_MS else 0  # from the future: it is read as of before now
+    order = Order(out, max(now + 1, last + 1))  # later than the last, whatever the clock
     _put(connection, name, {server: order})
-    connection.execute(
-        "DELETE FROM orders WHERE sidecar = ? AND out = 0 AND at_ms < ?", (name, now_ms() - CALL_BACK_KEPT_MS)
-    )
     return order
 
 
@@ -154,6 +163,19 @@
     connection.execute("DELETE FROM lists WHERE sidecar = ?", (name,))
 
 
+def clock_record(connection: sqlite3.Connection, name: str, kind: str, key: str) -> tuple[str | None, int]:
+    """The body of one record, None where there is none, and the latest time of any record or list."""
+    row = connection.execute(
+        "SELECT body FROM records WHERE sidecar = ? AND kind = ? AND id = ?", (name, kind, key)
+    ).fetchone()
+    latest = connection.execute(
+        "SELECT max(at_ms) FROM (SELECT at_ms FROM records WHERE sidecar = ?1"
+        " UNION ALL SELECT at_ms FROM list_heads WHERE sidecar = ?1)",
+        (name,),
+    ).fetchone()
+    return (str(row[0]) if row else None), (latest[0] if isinstance(latest[0], int) else 0)
+
+
 def put_records(connection: sqlite3.Connection, name: str, records: list[Record]) -> None:
     connection.executemany(
         "INSERT INTO records (sidecar, kind, id, at_ms, until_ms, body) VALUES (?, ?, ?, ?, ?, ?)"
@@ -164,7 +186,7 @@
     connection.execute("DELETE FROM records WHERE sidecar = ? AND until_ms < ?", (name, now_ms()))
 
 
-def merge(connection: sqlite3.Connection, name: str, orders: dict[str, Order]) -> dict[str, Order]:
+def merge(connection: sqlite3.Connection, name: str, orders: Mapping[str, Order]) -> dict[str, Order]:
     held = dict(connection.execute("SELECT server, at_ms FROM orders WHERE sidecar = ?", (name,)).fetchall())
     later = {server: order for server, order in orders.items() if order.at_ms > held.get(server, -1)}
     _put(connection, name, later)
@@ -176,3 +198,6 @@
         "INSERT OR REPLACE INTO orders (sidecar, server, out, at_ms) VALUES (?, ?, ?, ?)",
         [(name, server, int(order.out), order.at_ms) for server, order in orders.items()],
     )
+    connection.execute(
+        "DELETE FROM orders WHERE sidecar = ? AND out = 0 AND at_ms < ?", (name, now_ms() - CALL_BACK_KEPT_MS)
+    )
