--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -6,8 +6,8 @@
 body)`, what was learned (anisespool/state/memory.py) and the clock that dates it all
 (anisespool/state/epoch.py), each row void after `until_ms`. `PRAGMA user_version`
 is the schema; a file of schema 1 gains the table `lists`, and the others do not change the schema, so that a
-release without them still reads what it knows. Each row carries its writer's sidecar name, and each but those
-of `list_rows` its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a commit has reached
+release without them still reads what it knows. Each row carries its writer's sidecar name, and but for those of
+`list_rows` its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a commit has reached
 the disk before a yes depends on it.
 
 The list stored is at any time the whole list of one revision, as one process heard it. Its etag is a digest
@@ -54,7 +54,7 @@
     commit's fsync or the other process's lock never holds up a request.
 
     A store that cannot be opened reads as an empty one, and each write tries to open it. One whose write
-    failed, but for a lock, is opened anew by the next write: its connections may never recover."""
+    failed, but for a lock, is opened anew by the next write."""
 
     def __init__(self, path: Path, name: str) -> None:
         self.path, self.name = path, name
@@ -88,7 +88,7 @@
         return it if it.is_open else None
 
     def close(self) -> None:
-        """Once a write that is under way has ended: a connection closed under it ends the process by SIGSEGV."""
+        """Once a write that is under way has ended: closed under it, the process ends by SIGSEGV."""
         with self._writing:
             self._closed = True
             for name in ("_reader", "_writer", "_next_reader"):
