Ask peers again what is no longer up while the own list is old

`WarmStart.follow` ended, and `Hearsay.end` closed for good, with discovery's first list. A sidecar that later gets no fresh list in time (its calls are refused or hang while others are served) went on sending to servers that drain, though its peers had the list that says so.

`Watch.list_is_old` holds once half of the deadline for a fresh list is over, which a watch in order never reaches; from then on three peers are asked every 0.5 to 1 s. `Outside.list_is_old` hands the module its list anew as a CACHED one, which opens hearsay until discovery's next list. Quorum, the 30 s and the share that may be held out are those of the warm start. Nothing is refused.

--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -43,6 +43,10 @@
         self._held: Stream | None = None
         self._calls: list[Stream] = []
 
+    def list_is_old(self) -> bool:
+        """No fresh list has come for so long that what discovery has may soon count as known."""
+        return self._clock.list_is_old(time.monotonic())
+
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
         watching = asyncio.create_task(self.run(self.start_delay_s))
--- a/anisespool/outside.py
+++ b/anisespool/outside.py
@@ -43,6 +43,14 @@
         )
         self._handle(message._replace(sightings=seen))
 
+    def list_is_old(self) -> None:
+        """Discovery has not been heard for a while: until its next list, peers may say what is not up."""
+        servers = self.servers
+        rows = tuple(
+            servers.ordered(m)._replace(endpoint=servers.numbers[m.id]) for m in servers.members.values()
+        )
+        self._handle(api.Roster(servers.revision, api.RosterForm.CACHED, rows))
+
     def peer_list(
         self, sender: int, revision: int, low: int, high: int, is_up: Callable[[int], bool]
     ) -> None:
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -116,7 +116,8 @@
             await self._first_list(PUSHED_WAIT_S, stop, self._watch.failed)
         if self._config.inherited_fd is None and self._warm:
             await self._warm.ask(self._watch.heard)
-            tasks.append(loop.create_task(self._warm.follow(self._watch.heard)))
+            follow = self._warm.follow(self._watch.heard, self._watch.list_is_old)
+            tasks.append(loop.create_task(follow))
         await asyncio.sleep(self._pair.unknown_s())  # or its first keys would be unknown there
         on_listening(self._listen())
         self._operators.serving = True
--- a/anisespool/state/warm.py
+++ b/anisespool/state/warm.py
@@ -1,5 +1,6 @@
 """Warm start from peers: a sidecar that has just started asks a few others which servers their lists have as
-up, before its own first list has come; they answer with what they hold ejected, too. The decisions are in
+up, before its own first list has come; they answer with what they hold ejected, too. It asks again while its
+list is old, as discovery's watch was lost and no call has brought another. The decisions are in
 shuntlead/hearsay.py; here are the datagrams (256 bytes at most each) and the waiting.
 
 A list goes out in parts, each for itself: of the servers whose shared ids lie from LOW to HIGH, just those
@@ -28,7 +29,7 @@
 MOST_PARTS = 16  # of one answer: some 1800 servers
 TOP = 0xFFFFFFFF
 ASKED = 3, 9  # peers in each round: of a fleet that a release restarts, most have no list themselves
-AGAIN_S = 1.0  # between later rounds, until discovery's first list
+AGAIN_S = 1.0  # between later rounds, until discovery's first list or while the list is old
 ROUND_S = 0.08  # a datagram takes up to 28 ms each way
 WAIT_S = len(ASKED) * ROUND_S  # the declared bound: READY waits no longer for peers
 ANSWERS_PER_S, ANSWERS_BURST = 20.0, 40.0  # a release must not make a load of its restarts
@@ -90,12 +91,17 @@
             for waiting in ended:
                 waiting.cancel()
 
-    async def follow(self, heard: asyncio.Event) -> None:
-        """Ask on until discovery has spoken: servers go on draining meanwhile."""
-        while not heard.is_set():
+    async def follow(self, heard: asyncio.Event, list_is_old: Callable[[], bool]) -> None:
+        """Ask on until discovery has spoken, and whenever the list is old: servers drain meanwhile."""
+        was_old = True  # at a start
+        while True:
             await asyncio.sleep(random.uniform(0.5, 1.0) * AGAIN_S)
-            if not heard.is_set():
+            is_old = not heard.is_set() or list_is_old()
+            if is_old and not was_old:
+                self._outside.list_is_old()
+            if is_old:
                 self._ask_some(ASKED[0])
+            was_old = is_old
 
     def _ask_some(self, count: int, sightings: bool = False) -> None:
         up = self._outside.servers.up()
--- a/shuntlead/hearsay.py
+++ b/shuntlead/hearsay.py
@@ -1,9 +1,9 @@
-"""What peers' lists say before this sidecar's own first list has come: a warm start.
+"""What peers' lists say while this sidecar's own is old: at a start, and when discovery is lost.
 
 A restart begins with an old list, on which servers that drained or went since are still up. A peer whose
 list is later names those that are no longer up; where a quorum of peers agrees, nothing is sent there.
 That only takes endpoints out of the draw: what discovery has not named here is never sent to on hearsay. It
-ends with the first list of discovery, or HEARSAY_NS after it was heard, and never takes out over
+ends with the next list of discovery, or HEARSAY_NS after it was heard, and never takes out over
 MOST_HELD_OUT.
 """
 
@@ -45,6 +45,10 @@
         """When what was heard is too old; 0 where nothing is held out by it."""
         return self._until if self._down else 0
 
+    def begin(self) -> None:
+        """The list in use is an old one."""
+        self.over = False
+
     def end(self) -> None:
         self.over = True
         self._down.clear()
--- a/shuntlead/members.py
+++ b/shuntlead/members.py
@@ -38,7 +38,9 @@
     def on_roster(self, roster: api.Roster) -> None:
         """A list or a change of one; no failed call. Danger: requests wait meanwhile, so it goes by row."""
         self._version = roster.version
-        if roster.form is not RosterForm.CACHED:
+        if roster.form is RosterForm.CACHED:
+            self._hearsay.begin()
+        else:
             self._hearsay.end()
         if roster.form is not RosterForm.DELTA:
             listed = {row.endpoint for row in roster.entries}
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -126,3 +126,8 @@
     assert hear(1, 5, *range(8)) == 7 and hear(2, 5, *range(8)) == 8  # all: no more is believed
     car.roster([listed(0)])
     assert hear(1, 9, 0, 1) == hear(2, 9, 0, 1) == 8
+    car.roster([listed(n) for n in range(8)], api.RosterForm.CACHED)  # the driver: this list is old now
+    assert len(car.balancer.members.ready) == 8  # what was heard before counts no more
+    assert hear(1, 9, 0, 1) == 8 and hear(2, 9, 0) == 7
+    car.roster([])  # discovery speaks: a change that changes nothing
+    assert len(car.balancer.members.ready) == 8
