Count lines of the log in tests without regard to how long a busy machine takes

The bounds on lines, and the 3 s of the test of bad input, hung on real time. The tests now stretch the pause between two lines and shorten the wait for a request, and count exactly. Endpoints writes its first line whenever it comes, also in the first second of the machine's clock.

--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from math import inf
 
 from anisespool import http1
 from anisespool.config import Address
@@ -38,8 +39,7 @@
         # Those with connections, or of which the log has to tell: what is done each second is done for these
         # alone, few of a long list. Removed and replaced ones stay till their connections end.
         self._used: dict[Pool, None] = {}
-        self._logged_at = 0.0
-        self._made_room_at = 0.0
+        self._logged_at = self._made_room_at = -inf
         self.make_room: Callable[[], object] = lambda: None  # frees a descriptor that is not a server's
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
--- a/tests/test_accept_failures.py
+++ b/tests/test_accept_failures.py
@@ -13,7 +13,7 @@
 
 from anisespool import admin
 from anisespool.config import Address
-from anisespool.front import server, waits
+from anisespool.front import listener, server, waits
 from tests.net import Endpoint, exchange, raw_call, read_response, until, world
 from tests.syscalls import FailingCall, is_accepted_at, listens_at, take_and_drop
 from tests.test_admin import call
@@ -116,6 +116,7 @@
 ) -> None:
     times = 6
     monkeypatch.setattr(server, "ACCEPT_PAUSE_S", 0.02)
+    monkeypatch.setattr(listener, "QUIET_S", 60.0)
     async with Endpoint().serve() as endpoint, world(tmp_path, endpoint, admin=True) as it:
         assert it.admin
         for address in (it.address, it.admin):
@@ -127,7 +128,7 @@
                 assert await is_served(address)
             assert failing.failed == times and monotonic() - began > (times - 1) * 0.02 / 2
     lines = [line for line in capfd.readouterr().err.splitlines() if line.startswith(("server:", "admin:"))]
-    assert 2 <= len(lines) <= 6
+    assert len(lines) == 2  # one each
     assert all(("NoDescriptors" in line) == (number in SHORT) for line in lines)
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -11,6 +11,8 @@
 import pytest
 
 from anisespool.config import Address
+from anisespool.endpoints import endpoints
+from anisespool.front import waits
 from tests.net import Endpoint, exchange, raw_call, read_response, reset, until, world
 from tests.syscalls import no_traceback
 from tests.test_admin import call
@@ -60,8 +62,11 @@
 
 
 async def test_bad_input_from_clients_is_refused_or_ended_in_time_and_leaves_nothing(
-    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
+    """With a shorter wait for a request, that a busy machine makes no difference; tests/test_crowds.py holds
+    the real one against the 3 s."""
+    monkeypatch.setattr(waits, "WAIT_S", 0.75)
     async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as it:
         assert (await exchange(it.address, raw_call())).status == 200
         service = it.service
@@ -108,8 +113,10 @@
 
 @pytest.mark.parametrize("data", BAD_ANSWERS.values(), ids=BAD_ANSWERS)
 async def test_bad_answers_of_a_server_cost_no_request_its_answer(
-    tmp_path: Path, capfd: pytest.CaptureFixture[str], data: bytes
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str], data: bytes
 ) -> None:
+    monkeypatch.setattr(endpoints, "QUIET_S", 60.0)
+
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.write(data)
         writer.close()
@@ -125,4 +132,4 @@
         await until(lambda: not (service.open or service._endpoints.busy))
         assert service._endpoints._opening == 0
     lines = capfd.readouterr().err.splitlines()
-    assert sum(line.startswith("broken:") for line in lines) <= 4  # one each 0.5 s
+    assert sum(line.startswith("broken:") for line in lines) == 1
--- a/tests/test_connect_failures.py
+++ b/tests/test_connect_failures.py
@@ -41,6 +41,7 @@
 async def test_a_short_lack_at_this_machine_is_waited_out_and_says_nothing_of_the_server(
     monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str], number: int, name: str
 ) -> None:
+    monkeypatch.setattr(endpoints, "QUIET_S", 60.0)
     async with Endpoint().serve() as endpoint:
         driver = Driver(endpoint.address)
         matches = goes_to(endpoint.address) if name == "connect" else always
