Hold back no answer to a client in the kernel

Root cause: the loop sets TCP_NODELAY on sockets whose protocol it knows for TCP. Those accepted by our own listener have protocol 0 (those of an inherited one do not), so a second answer on a connection was held back until the client had acknowledged the first (40 ms), and went with a reset where the connection was closed over unread bytes.

Change: Conversation.connection_made sets it. Ports of the tests are handed out once a run, as two workers drew the same now and then (Errno 98 at a start). An operators' order while the list is old does not end what peers said of it.

Measured: test_no_answer_is_held_back... failed before (0 in place of 1) for our own listener, passed for an inherited one.

--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -76,8 +76,7 @@
         if self._transport and not self._transport.is_closing():
             self._answered = True
             self._transport.write(text.encode() + b"\n")
-            end_output(self._transport)
-            self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+            self._timer = end_output(self._transport, LINGER_S)
 
     def abort(self) -> None:
         if self._transport:
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections import deque
 from http import HTTPStatus
@@ -15,7 +16,7 @@
 from anisespool.front.place import Front
 from anisespool.front.reading import ClientReading
 from anisespool.front.waits import Waits
-from anisespool.sockets import end_output
+from anisespool.sockets import end_output, set_option
 
 MOST_PIPELINED = 8  # requests read ahead on one connection
 READ_NS = 1_000_000  # a request that waited no longer has not waited
@@ -23,8 +24,8 @@
 
 
 class Conversation(ClientReading):
-    """One connection of the application. It is read all the time, as its end is how a client goes away, but
-    while a long body has nowhere to go or too much was sent ahead."""
+    """It is read all the time, as its end is how a client goes away, but while a long body has nowhere to go
+    or too much was sent ahead."""
 
     def __init__(self, server: Front) -> None:
         super().__init__(server.paused)
@@ -51,6 +52,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = self._outlet.transport = transport
+        set_option(transport, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # the loop does so when it connects
         self._watch_hangup()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -184,12 +186,11 @@
             if answer.flow:
                 answer.flow.drop()
             return
-        request = self._request
-        close = not request.keep_alive or self._is_last()
+        close = not self._request.keep_alive or self._is_last()
         if answer.flow:
-            self._answer_at_length(request, answer.flow, close)
+            self._answer_at_length(self._request, answer.flow, close)
             return
-        is_head = request.method == b"HEAD"
+        is_head = self._request.method == b"HEAD"
         data = http1.encode_response(
             answer.status, b"" if is_head else answer.body, answer.retry_after_s, close or self._uploading,
             answer.length if is_head else None,
@@ -246,5 +247,4 @@
         if self._transport:
             self._transport.write(data)
             self._resume_reading()
-            end_output(self._transport)
-            asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+            end_output(self._transport, LINGER_S)
--- a/anisespool/outside.py
+++ b/anisespool/outside.py
@@ -46,6 +46,7 @@
     def list_is_old(self) -> None:
         """Discovery has not been heard for a while: until its next list, peers may say what is not up."""
         servers = self.servers
+        servers.discovery_spoke = False
         rows = tuple(
             servers.ordered(m)._replace(endpoint=servers.numbers[m.id]) for m in servers.members.values()
         )
--- a/anisespool/servers.py
+++ b/anisespool/servers.py
@@ -30,7 +30,7 @@
         self.members: dict[str, Member] = {}  # as last listed, whatever the operators say
         self._left: dict[str, Member | None] = {}  # have been listed and are no more, the latest last
         self.revision = 0
-        self._discovery_spoke = False
+        self.discovery_spoke = False  # since the start, or since its list became old
         self.numbers: dict[str, int] = {}  # id -> its number; one that is gone never returns
         self.ids: dict[int, str] = {}  # the same by the number
         self.shared: dict[int, int] = {}  # number -> what peers call it
@@ -42,7 +42,7 @@
         """Take up a list or a change. The servers that it has, with their rows for the module, and the
         numbers of those that it no longer has."""
         self.revision, gone, rows = update.revision, [], []
-        self._discovery_spoke |= form is not RosterForm.CACHED
+        self.discovery_spoke |= form is not RosterForm.CACHED
         if self._clock:
             self._clock.look()
         if form is not RosterForm.DELTA:
@@ -114,7 +114,7 @@
         spoken that is the whole list of the start: a change of it would pass for discovery's word, which ends
         what peers' later lists say."""
         known = tuple(self.members[m] for m in member_ids if m in self.members)
-        if self._discovery_spoke or not known:
+        if self.discovery_spoke or not known:
             return MemberList(self.revision, False, known), RosterForm.DELTA
         return MemberList(self.revision, True, tuple(self.members.values())), RosterForm.CACHED
 
--- a/anisespool/sockets.py
+++ b/anisespool/sockets.py
@@ -9,13 +9,14 @@
 from anisespool.log import fault
 
 
-def end_output(transport: asyncio.WriteTransport) -> None:
-    """Shut our side down behind what is written. shutdown(2) fails with ENOTCONN where a reset has come and
-    is yet unread; then nobody is there to read on."""
+def end_output(transport: asyncio.WriteTransport, linger_s: float) -> asyncio.TimerHandle:
+    """Shut our side down behind what is written, and abort after so many seconds. shutdown(2) fails with
+    ENOTCONN where a reset has come and is yet unread; then nobody is there to read on."""
     try:
         transport.write_eof()
     except OSError:
         transport.abort()
+    return asyncio.get_running_loop().call_later(linger_s, transport.abort)
 
 
 def set_option(transport: asyncio.BaseTransport, level: int, option: int, value: int | bytes) -> None:
--- a/anisespool/state/store.py
+++ b/anisespool/state/store.py
@@ -6,8 +6,8 @@
 body)`, what was learned (anisespool/state/memory.py) and the clock that dates it all
 (anisespool/state/epoch.py), each row void after `until_ms`. `PRAGMA user_version`
 is the schema; a file of schema 1 gains the table `lists`, and the others do not change the schema, so that a
-release without them still reads what it knows. Each row carries its writer's sidecar name, and but for those of
-`list_rows` its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a commit has reached
+release without them still reads what it knows. Each row carries its writer's sidecar name, and all but those
+of `list_rows` its Unix time in ms. The file is in WAL mode with `synchronous=FULL`, so a commit has reached
 the disk before a yes depends on it.
 
 The list stored is at any time the whole list of one revision, as one process heard it. Its etag is a digest
--- a/tests/net.py
+++ b/tests/net.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -15,10 +14,9 @@
 from anisespool import http1
 from anisespool.config import Address, Config, load
 from anisespool.service import Service
+from tests.ports import free_port as free_port
 from tests.support import raw_settings
 
-_PORTS = random.SystemRandom()  # so that test runs side by side do not draw alike
-
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 UNTIL_S, SLACK_S = 15.0, 0.07  # for a condition on a busy machine; past a deadline, as the rules count it
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -197,16 +195,6 @@
         self.admin: Address | None = None
 
 
-def free_port() -> int:
-    """Below the ports that the kernel hands out: between this look and the listening, a connection of any of
-    the workers beside this one would take one of those now and then."""
-    while True:
-        port = _PORTS.randrange(10_000, 32_000)
-        with socket.socket() as sock, suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 @asynccontextmanager
 async def world(
     folder: Path, *endpoints: Peer, admin: bool = False, **changes: Any
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import signal
+import socket
 from pathlib import Path
 from time import monotonic
 
 import pytest
 
 from anisespool.config import Address, load
+from anisespool.front.listener import open_listener
 from anisespool.front.server import Server
 from anisespool.front.shutdown import Shutdown, Stage
 from shuntlead import interface as api
@@ -132,3 +134,26 @@
         assert answers.count(b"HTTP/1.1 503") == 3 and answers.count(b"Connection: close") == 1
         busy.close()
         await listener.stop(end_now())
+
+
+@pytest.mark.parametrize("is_inherited", [False, True])
+async def test_no_answer_is_held_back_in_the_kernel_until_the_one_before_is_acknowledged(
+    tmp_path: Path, is_inherited: bool
+) -> None:
+    """A reset of the connection would take it along. The loop sets this for connections that it makes, not
+    for those that it is given."""
+    async with Endpoint(say_nothing).serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        config = load(write_config(tmp_path, endpoint.address, []))
+        server = Server(it.sidecar, config.names, config.settings, 8)
+        held = open_listener(Address("127.0.0.1", 0), 8)
+        address = server.inherit(held.detach()) if is_inherited else server.listen(Address("127.0.0.1", 0))
+        _, writer = await asyncio.open_connection(*address)
+        await until(lambda: len(server.connections) == 1)
+        [connection] = server.connections
+        assert connection._transport
+        accepted = connection._transport.get_extra_info("socket")
+        assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        writer.close()
+        await server.stop(end_now())
+        if not is_inherited:
+            held.close()
