Ask the kernel about a connection only where its answer can matter

Cause: since a request's wait unread and bytes not taken are looked at, each read cost a getsockopt, each use of a connection to a server two polls made anew and two ioctls, each event a generator's context.

The stand-in of test_polls takes the place of the kept poll; what it asks for is the same.

--- a/anisespool/decisions.py
+++ b/anisespool/decisions.py
@@ -59,9 +59,12 @@
             self._handling = before
 
     def _drain(self) -> None:
-        with self.held():
+        self._handling = True
+        try:
             while self._events:
                 self._one(self._events.popleft())
+        finally:
+            self._handling = False
 
     def _one(self, event: api.Event) -> None:
         try:
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import time
 from typing import Protocol
 
@@ -10,7 +11,7 @@
 from anisespool.endpoints.attempt import Attempt
 from anisespool.endpoints.pool import Pool
 from anisespool.flow import Flow, read_buffer
-from anisespool.kernel import has_input, unacknowledged
+from anisespool.kernel import has_events, unacknowledged
 from shuntlead.interface import Status
 
 HOLD_S = 0.05  # for an answer of no told length to end: a short one can still be repeated, a long one waits
@@ -33,6 +34,7 @@
         self._attempt: Attempt | None = None
         self._parser: http1.ResponseParser | None = None  # of the answer that is waited for
         self._transport: asyncio.Transport | None = None
+        self._input = select.poll()
         self._unflushed = False  # something written has not left for the kernel
         self._upload: Flow | None = None  # the rest of the request's body
         self._progress_ns = 0  # of a long body, either way
@@ -50,6 +52,7 @@
         self._transport = transport
         # With no room in the buffer, pause and resume tell exactly whether anything is left in it.
         transport.set_write_buffer_limits(high=0)
+        self._input.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._hold()
 
     def pause_writing(self) -> None:
@@ -66,13 +69,15 @@
     def fresh(self) -> bool:
         """Whether a request may be written to it. An idle connection may have been closed by the endpoint a
         moment ago, with the news still unread in the kernel: a request would end as a reset, which proves
-        nothing. And behind bytes of an earlier request that the endpoint has not taken, as it answered early,
-        a request would begin only when the endpoint reads on, even if it drains by then."""
+        nothing."""
         assert self._transport
-        if self._transport.is_closing():
-            return False
-        descriptor = self._transport.get_extra_info("socket").fileno()
-        return not has_input(descriptor) and not unacknowledged(descriptor)
+        return not self._transport.is_closing() and not has_events(self._input)
+
+    def _is_taken(self) -> bool:
+        """The endpoint's kernel has all that was written. Behind bytes that it has not, as the endpoint has
+        answered early, a request would begin only when it reads on, even if it drains by then."""
+        assert self._transport
+        return not unacknowledged(self._transport.get_extra_info("socket").fileno())
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
@@ -209,7 +214,7 @@
             status = Status.OK
         elif response.status in (503, 504) and response.headers.get(b"x-never-ran", b"").strip() == b"1":
             status = Status.FULL
-        reusable = response.keep_alive and not self.unwritten
+        reusable = response.keep_alive and not self.unwritten and self._is_taken()
         self._end(status, response, reusable)
 
     def _end(self, status: Status, response: http1.Response | None = None, reusable: bool = False) -> None:
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -28,7 +28,7 @@
     or too much was sent ahead."""
 
     def __init__(self, server: Front) -> None:
-        super().__init__(server.paused)
+        super().__init__(server.paused, server.heartbeat)
         self._server = server
         self._parser = http1.RequestParser(self._hold, self._read_on)
         self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
--- a/anisespool/front/place.py
+++ b/anisespool/front/place.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from anisespool.config import Names
+from anisespool.front.heartbeat import Heartbeat
 from anisespool.front.reading import Paused
 from anisespool.sidecar import Sidecar
 from shuntlead import Settings
@@ -22,6 +23,7 @@
     settings: Settings
     long_answers: set[Conversation]
     paused: Paused
+    heartbeat: Heartbeat
 
     @property
     def stopping(self) -> bool: ...
--- a/anisespool/front/reading.py
+++ b/anisespool/front/reading.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from anisespool.front.arrivals import Arrivals
+from anisespool.front.heartbeat import Heartbeat
 from anisespool.kernel import has_events, since_data_ms, unread
 
 LOOK_S = 0.04  # no attempt may begin more than 0.1 s after its client has gone
@@ -55,8 +56,9 @@
 class ClientReading(asyncio.BufferedProtocol):
     """The reading side of a client's connection."""
 
-    def __init__(self, paused: Paused) -> None:
-        self._paused = paused
+    def __init__(self, paused: Paused, heartbeat: Heartbeat) -> None:
+        self._paused, self._heartbeat = paused, heartbeat
+        self._is_new = True  # nothing has been read yet
         self._transport: asyncio.Transport | None = None
         self._hangup, self._unread = select.poll(), select.poll()
         self._arrivals = Arrivals()
@@ -86,9 +88,12 @@
     def _came_ns(self, now: int, nbytes: int) -> int:
         """Of what is read now. Danger: a client's time runs while its request waits unread, as too much was
         sent ahead, or this process stood still, or did not accept; taken for new, its server would be told
-        more than is left."""
+        more than is left. The kernel is asked only where that may be, as it costs a system call."""
         assert self._transport
-        waited_ms = since_data_ms(self._transport.get_extra_info("socket"))
+        waited_ms = 0
+        if self._is_new or self._heartbeat.has_stalled(now):
+            waited_ms = since_data_ms(self._transport.get_extra_info("socket"))
+        self._is_new = False
         return self._arrivals.read(nbytes, now, now - waited_ms * 1_000_000)
 
     def is_gone(self) -> bool:
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -14,6 +14,7 @@
 from anisespool.errors import NoRoomForClients
 from anisespool.front.client import ClientConnection
 from anisespool.front.conversation import Conversation
+from anisespool.front.heartbeat import Heartbeat
 from anisespool.front.listener import Acceptor, inherited_listener, open_listener
 from anisespool.front.outlet import HIGH
 from anisespool.front.reading import Paused
@@ -42,7 +43,7 @@
         self._buffers = buffers
         self.long_answers: set[Conversation] = set()
         self.connections: set[ClientConnection] = set()
-        self.paused = Paused()
+        self.paused, self.heartbeat = Paused(), Heartbeat()
         self._shutdown: Shutdown | None = None
         self._most = most
         self._listener: socket.socket | None = None
--- a/anisespool/kernel.py
+++ b/anisespool/kernel.py
@@ -26,13 +26,6 @@
         return True
 
 
-def has_input(descriptor: int) -> bool:
-    """Bytes or an end have come that nobody has read."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return has_events(poll)
-
-
 def unread(descriptor: int) -> int:
     """Bytes that have come and nobody has read."""
     return _count(descriptor, termios.FIONREAD)
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -108,6 +108,7 @@
         if self._memory:
             self._memory.load()
         works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
+                 self._server.heartbeat.follow(),
                  log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
         works += [self._pair.follow(), self._maintenance.follow()]
         if self._store:
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -51,9 +51,6 @@
 class NoPoll:
     """A poll object for which the kernel has no memory."""
 
-    def register(self, descriptor: int, events: int) -> None:
-        assert descriptor >= 0
-
     def poll(self, timeout_ms: int) -> Any:
         raise os_error(errno.ENOMEM)
 
@@ -66,9 +63,7 @@
         await driver.result()
         (before,) = driver.endpoints.connections
         await until(lambda: asyncio.get_running_loop().time() > before.idle_since + 0.05)
-        real = select.poll
-        polls = iter([NoPoll()])
-        monkeypatch.setattr(select, "poll", lambda: next(polls, None) or real())
+        monkeypatch.setattr(before, "_input", NoPoll())
         attempt = await driver.result()
         assert attempt.response and len(endpoint.requests) == 2
         assert before not in driver.endpoints.connections
