--- a/shuntlead/hearsay.py
+++ b/shuntlead/hearsay.py
@@ -45,10 +45,7 @@
         """When what was heard is too old; 0 where nothing is held out by it."""
         return self._until if self._down else 0
 
-    def begin(self) -> None:
-        """The list in use is an old one."""
-        self.over = False
-
-    def end(self) -> None:
-        self.over = True
+    def on_list(self, is_old: bool) -> None:
+        """The list in use is discovery's last word, or an old one."""
+        self.over = not is_old
         self._down.clear()
--- a/shuntlead/members.py
+++ b/shuntlead/members.py
@@ -38,10 +38,7 @@
     def on_roster(self, roster: api.Roster) -> None:
         """A list or a change of one; no failed call. Danger: requests wait meanwhile, so it goes by row."""
         self._version = roster.version
-        if roster.form is RosterForm.CACHED:
-            self._hearsay.begin()
-        else:
-            self._hearsay.end()
+        self._hearsay.on_list(roster.form is RosterForm.CACHED)
         if roster.form is not RosterForm.DELTA:
             listed = {row.endpoint for row in roster.entries}
             self.endpoints = {n: e for n, e in self.endpoints.items() if n in listed}
