--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -108,7 +108,6 @@
         if self._memory:
             self._memory.load()
         works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
-                 self._server.heartbeat.follow(),
                  log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
         works += [self._pair.follow(), self._maintenance.follow()]
         if self._store:
@@ -122,6 +121,7 @@
         if self._config.inherited_fd is not None and self._beside:
             works.append(self._beside.follow())
         tasks = [loop.create_task(work) for work in works]
+        self._server.heartbeat.beat()
         if self._config.inherited_fd is not None:
             await self._first_list(LIST_WAIT_S, stop)
         elif self._config.settings.discovery == "push":
