--- a/tests/test_drain_lists.py
+++ b/tests/test_drain_lists.py
@@ -128,12 +128,16 @@
         assert not [p for p in it.it.service._endpoints._pools.values() if p.name == "s-0" and p.open_to_new]
 
 
-async def test_a_change_that_comes_with_the_end_of_its_connection_is_in_force(tmp_path: Path) -> None:
+@pytest.mark.parametrize("end", [b"", b"0\r\n\r\n"], ids=["cut off", "in order"])
+async def test_a_change_that_comes_with_the_end_of_its_connection_is_in_force(
+    tmp_path: Path, end: bytes
+) -> None:
     """Discovery writes it to no other watch."""
     async with scene(tmp_path) as it:
         await until(lambda: bool(it.it.discovery.connections))
         writer = it.it.discovery.connections[-1][1]
         it.seen.tell(it.it.discovery, member_list(2, [it.row(0, "draining")], False))
+        writer.write(end)
         writer.close()
         await it.grace()
         await serve(it, "after")
