Keep what peers said of an old list over an operators' order on it

Cause: a list in its cached form cleared what was heard, whoever sent it: an operators' order too, which goes as the list of the start until discovery has spoken. And Watch._take moved its revision on before the change was in force, so that a fault on the way would have lost it for good.

A change and the orderly end of the watch in one read is played as well (tests/test_drain_lists.py).

--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -186,8 +186,8 @@
             return
         if since <= update.revision < self.revision:
             return  # Danger: written before the last words of the watch before it, it would undo them
-        self.revision = update.revision
         self._on_list(update)
+        self.revision = update.revision  # only now: a fault on the way must not lose the change
         if self._on_raw:
             self._on_raw(raw, update)
         self.heard.set()
--- a/shuntlead/hearsay.py
+++ b/shuntlead/hearsay.py
@@ -46,6 +46,7 @@
         return self._until if self._down else 0
 
     def on_list(self, is_old: bool) -> None:
-        """The list in use is discovery's last word, or an old one."""
+        """The list in use is discovery's last word, or an old one, of which what was heard still holds."""
         self.over = not is_old
-        self._down.clear()
+        if self.over:
+            self._down.clear()
