--- a/tests/test_planned_end.py
+++ b/tests/test_planned_end.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from contextlib import suppress
 from pathlib import Path
 from time import monotonic
 
@@ -149,3 +150,44 @@
         await asyncio.gather(owed, late)
         assert (await end.over(), end.lost(server)) == (0, [])
         assert None not in [s.status for s in end.sent]
+
+
+async def test_a_listener_queue_that_is_still_full_as_the_listener_closes_is_answered(tmp_path: Path) -> None:
+    """The process is held up while clients come: none of them is reset."""
+    async with Endpoint().serve() as server:
+        end = await sidecar(tmp_path, 1.0, server)
+        end.terminate()
+        end.process.send_signal(signal.SIGSTOP)
+        queued = [await asyncio.open_connection(*end.address) for _ in range(30)]
+        asked = [
+            asyncio.create_task(end.request(streams, f"q{n}", call(f"q{n}", 1.0)))
+            for n, streams in enumerate(queued)
+        ]
+        await end.at(0.45)
+        end.process.send_signal(signal.SIGCONT)
+        answered = await asyncio.gather(*asked)
+        assert (await end.over(), end.lost(server)) == (0, [])
+        assert {sent.status for sent in answered} <= {200, 503}
+
+
+async def test_clients_that_go_on_connecting_do_not_hold_up_the_end(tmp_path: Path) -> None:
+    async with Endpoint().serve() as server:
+        end = await sidecar(tmp_path, 0.5, server)
+        over = asyncio.Event()
+        connected = 0
+
+        async def connect_on() -> None:
+            nonlocal connected
+            while not over.is_set():
+                with suppress(OSError):
+                    _, writer = await asyncio.open_connection(*end.address)
+                    writer.close()
+                    connected += 1
+                await asyncio.sleep(0)
+
+        clients = [asyncio.create_task(connect_on()) for _ in range(20)]
+        end.terminate()
+        assert await end.over() == 0  # not by SIGKILL
+        over.set()
+        await asyncio.gather(*clients)
+        assert connected > 20
