--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -70,7 +70,7 @@
             self.answer(f"FAILURE {why}")
 
     def answer(self, text: str) -> None:
-        """Danger: closing with input unread resets the connection, and the caller never reads the answer."""
+        """Closing with input unread resets the connection, and the caller never reads the answer."""
         if self._timer:
             self._timer.cancel()
         if self._transport and not self._transport.is_closing():
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -65,7 +65,7 @@
 
     def _member(self, raw: dict[str, Any]) -> Member:
         state = STATES[raw["phase"]]
-        # Danger: what is gone may be listed by its id alone, and must go all the same.
+        # What is gone may be listed by its id alone, and must go all the same.
         gone = state == EndpointState.GONE
         address = Address("", 0) if gone else Address.parse(raw["host_port"])
         since_ms = int(raw.get("up_since_ms", 0))
--- a/anisespool/discovery/lines.py
+++ b/anisespool/discovery/lines.py
@@ -13,7 +13,7 @@
 
 
 class Lines:
-    """Bytes in, whole JSON objects out. Danger: a line that nobody can read must not hide those behind it."""
+    """Bytes in, whole JSON objects out. A line that nobody can read must not hide those behind it."""
 
     def __init__(self) -> None:
         self.signs = 0  # of life so far: whole objects, and empty lines outside of one
@@ -28,7 +28,7 @@
         self._rest.append(data)
         self._rest_size += len(data)
         lines: list[bytes] = []
-        if b"\n" in data:  # Danger: joined at each piece, a long list in small ones takes a second of a core
+        if b"\n" in data:  # Joined at each piece, a long list in small ones takes a second of a core
             *lines, rest = b"".join(self._rest).split(b"\n")
             self._rest, self._rest_size = [rest], len(rest)
         return self._objects(lines)
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -181,11 +181,11 @@
         try:
             update = self._names.member_list(raw)
         except ValueError as error:
-            # Danger: one line that nobody can read must not end the watch, nor hide those behind it.
+            # One line that nobody can read must not end the watch, nor hide those behind it.
             fault("discovery", UnreadableList(f"a line was skipped: {error}"[:MOST_SHOWN]))
             return
         if since <= update.revision < self.revision:
-            return  # Danger: written before the last words of the watch before it, it would undo them
+            return  # Written before the last words of the watch before it, it would undo them
         self._on_list(update)
         self.revision = update.revision  # only now: a fault on the way must not lose the change
         if self._on_raw:
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -98,7 +98,7 @@
     # The request's long body, on its way here -----------------------------------------------------
 
     def flow_data(self, data: bytes) -> None:
-        """Danger: as for Outlet.flow_data."""
+        """As for Outlet.flow_data."""
         if self._upload and self._transport and not self._transport.is_closing():
             self._transport.write(data if self._upload.length is not None else http1.encode_chunk(data))
             if self._unflushed:
@@ -148,7 +148,7 @@
             self._attempt.give_up(Status.TIMEOUT)
 
     def suspect(self, since_ns: int) -> None:
-        """Danger: a machine that vanished leaves its connections open. A request written to an idle one
+        """A machine that vanished leaves its connections open. A request written to an idle one
         would be lost to a time-out, or to a reset when the machine is back, and an unsafe one with it; a
         new connection that does not come up proves that nothing ran."""
         if self._pool.heard_ns < since_ns:
--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -89,7 +89,7 @@
             elif pool.open_to_new:
                 pool.retire()
             return
-        # Danger: connections of a process that is no more end as resets.
+        # Connections of a process that is no more end as resets.
         if pool:
             pool.retire()
         self._pools[number] = Pool(name, address, started_ns, open_to_new)
@@ -134,7 +134,7 @@
         finally:
             self._opening -= 1
             pool.waiting.discard(attempt)
-        # Danger: one lost while it came up has told its loss already, and would never end the attempt.
+        # One lost while it came up has told its loss already, and would never end the attempt.
         if connection is None or not connection.fresh():
             if connection:
                 connection.discard()
--- a/anisespool/endpoints/pool.py
+++ b/anisespool/endpoints/pool.py
@@ -36,7 +36,7 @@
         self.load: tuple[float, ...] = ()  # as last reported
 
     def take(self, rested_since: float) -> Idle | None:
-        """The latest used of the connections that are fit for another request. Danger: a second answer may
+        """The latest used of the connections that are fit for another request. A second answer may
         come some milliseconds late; on one taken at once it would be the answer to the next request. On one
         that rests it ends the connection."""
         for n in range(len(self.idle) - 1, -1, -1):
@@ -53,7 +53,7 @@
             connection.discard()
 
     def retire(self) -> None:
-        """Drained, gone or replaced. Danger: an attempt that waits for a connection would arrive after the
+        """Drained, gone or replaced. An attempt that waits for a connection would arrive after the
         news; it has not been sent, so the module may place it anew."""
         self.open_to_new = False
         self.close_idle()
--- a/anisespool/flow.py
+++ b/anisespool/flow.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 CHUNK = 64 * 1024  # read at a time
-# What connections read into. Danger: a fresh buffer for each read, cut to what came, leaves the heap in
+# What connections read into. A fresh buffer for each read, cut to what came, leaves the heap in
 # pieces. One is enough, as the loop reads and hands over before it turns to the next connection.
 _buffer = bytearray(CHUNK)
 read_buffer = memoryview(_buffer)
@@ -43,7 +43,7 @@
             self.hold()
 
     def end(self) -> None:
-        """Danger: nobody lets go of a source that is held when its last bytes come, and what follows them is
+        """Nobody lets go of a source that is held when its last bytes come, and what follows them is
         never read. There is nothing left to hold back."""
         if not self.broken and not self.done:
             self.done = True
--- a/anisespool/front/arrivals.py
+++ b/anisespool/front/arrivals.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-# A request that waited no longer counts as just come. Danger: with a few milliseconds less than its client's
+# A request that waited no longer counts as just come. With a few milliseconds less than its client's
 # other requests it would pass for a retry.
 LEAST_WAIT_NS = 50_000_000
 
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -77,7 +77,7 @@
         self._next()
 
     def eof_received(self) -> None:
-        """Danger: with an answer yet unsent the transport tells its loss late, and more would be begun."""
+        """With an answer yet unsent the transport tells its loss late, and more would be begun."""
         if self._outlet.at_length:  # an end in order would pass for that of a body of no told length
             self._outlet.reset()
         self._leave()
@@ -239,7 +239,7 @@
         self._end_side(http1.encode_response(status, close=True))
 
     def _end_side(self, data: bytes) -> None:
-        """Danger: closing with input unread resets the connection, and the client never reads the answer.
+        """Closing with input unread resets the connection, and the client never reads the answer.
         So end our side, and wait for the client's end a little."""
         self._closing, self._waits.since = True, time.monotonic()
         if self._request and self._request.flow:
--- a/anisespool/front/outlet.py
+++ b/anisespool/front/outlet.py
@@ -36,7 +36,7 @@
         return self.transport.get_write_buffer_size() if self.transport else 0
 
     def hold(self) -> None:
-        """Danger: a client that reads no answers and sends on would fill the memory with them."""
+        """A client that reads no answers and sends on would fill the memory with them."""
         self.unread = True
         if self._download:
             self._download.hold()
@@ -55,7 +55,7 @@
         flow.attach(self)
 
     def flow_data(self, data: bytes) -> None:
-        """Danger: asyncio logs each write on a connection that it has found broken in the same turn, and one
+        """Asyncio logs each write on a connection that it has found broken in the same turn, and one
         read may bring thousands of chunks."""
         if self.transport and self._download and not self.transport.is_closing():
             self.transport.write(http1.encode_chunk(data) if self._chunked else data)
@@ -79,7 +79,7 @@
             download.drop()
 
     def reset(self) -> None:
-        """Danger: an orderly end would pass for the end of a body that has no length."""
+        """An orderly end would pass for the end of a body that has no length."""
         if self.transport:
             set_option(self.transport, socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.transport.abort()
--- a/anisespool/front/reading.py
+++ b/anisespool/front/reading.py
@@ -75,7 +75,7 @@
         self._unread.register(descriptor, select.POLLIN)
 
     def has_unread(self) -> bool:
-        """Bytes or an end have come that the loop has yet to read. Danger: a close now would reset the
+        """Bytes or an end have come that the loop has yet to read. A close now would reset the
         connection under a request, and take an answer with it that is still on its way."""
         return self._transport is not None and not self._transport.is_closing() and has_events(self._unread)
 
@@ -86,7 +86,7 @@
             self._arrivals.saw(waiting, time.monotonic_ns())
 
     def _came_ns(self, now: int, nbytes: int) -> int:
-        """Of what is read now. Danger: a client's time runs while its request waits unread, as too much was
+        """Of what is read now. A client's time runs while its request waits unread, as too much was
         sent ahead, or this process stood still, or did not accept; taken for new, its server would be told
         more than is left. The kernel is asked only where that may be, as it costs a system call."""
         assert self._transport
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -64,24 +64,24 @@
         return len(self.connections) > self._most
 
     def limit(self, most: int) -> None:
-        """Danger: what is over it is taken from the other process of an upgrade."""
+        """What is over it is taken from the other process of an upgrade."""
         self._most = most
         while self.crowded and self.make_room():
             pass
 
     def retry_after_s(self) -> float:
-        """When a place is likely to be free again. Danger: told the same, all would come back as one."""
+        """When a place is likely to be free again. Told the same, all would come back as one."""
         wait_ns = min(self.settings.max_retry_after_ns, min(c.target_ns for c in self.settings.classes))
         return wait_ns / 1e9 * random.uniform(0.25, 0.75)
 
     def admit(self, connection: ClientConnection) -> None:
-        """Danger: those that bring no request must not hold the places of those that do."""
+        """Those that bring no request must not hold the places of those that do."""
         self.connections.add(connection)
         if self.crowded:
             self.make_room(connection)
 
     def make_room(self, but: ClientConnection | None = None) -> bool:
-        """A descriptor is wanted; whether one will be free. Danger: to put all clients in order for each
+        """A descriptor is wanted; whether one will be free. To put all clients in order for each
         newcomer of a crowd takes longer than they take to come; they wait unread, nobody knows how long."""
         now = time.monotonic()
         if now < self._ordered_at + ORDER_S and self._end_quietest(now, but):
@@ -105,7 +105,7 @@
         return max(LOW_SHARE, min(HIGH, self._buffers // len(self.long_answers)))
 
     async def sweep(self) -> None:
-        """Danger: a peer may connect and send nothing or half a request, or read no answer, and stay."""
+        """A peer may connect and send nothing or half a request, or read no answer, and stay."""
         while True:
             await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
@@ -131,7 +131,7 @@
         return Address(*self._listener.getsockname())
 
     def _accept(self) -> None:
-        """Danger: a crowd at the door must not keep the loop from all the others, nor take all descriptors
+        """A crowd at the door must not keep the loop from all the others, nor take all descriptors
         before those that make room have gone."""
         if self._listener and self._acceptor:
             self._acceptor.accept()
--- a/anisespool/http1/messages.py
+++ b/anisespool/http1/messages.py
@@ -39,7 +39,7 @@
 
 
 class Head:
-    """What both directions collect. Danger: headers without end would fill the memory."""
+    """What both directions collect. Headers without end would fill the memory."""
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
--- a/anisespool/http1/requests.py
+++ b/anisespool/http1/requests.py
@@ -10,7 +10,7 @@
 from anisespool.flow import Flow
 from anisespool.http1.messages import MAX_BODY, MAX_HEAD, MAX_LONG, Head, Request
 
-# Danger: a parser of httptools and its owner here hold each other. Left to the collector, pairs pile up with
+# A parser of httptools and its owner here hold each other. Left to the collector, pairs pile up with
 # all that they have read, one for each request; so each is closed once it is done with.
 
 
--- a/anisespool/outside.py
+++ b/anisespool/outside.py
@@ -1,5 +1,5 @@
 """What comes from other processes and from the store, in the module's terms, and what goes there: peers, the
-other process of an upgrade, the next process of this sidecar. Danger: a server that discovery has not named
+other process of an upgrade, the next process of this sidecar. A server that discovery has not named
 here yet must not be sent to on hearsay, so what is said of one is left out."""
 
 from __future__ import annotations
--- a/anisespool/pair.py
+++ b/anisespool/pair.py
@@ -54,7 +54,7 @@
             await news.wait()
 
     def unknown_s(self) -> float:
-        """For how long the other process may still not know of this one, nor follow what it writes. Danger: a
+        """For how long the other process may still not know of this one, nor follow what it writes. A
         yes or a pin of that time is unknown there."""
         return max(0.0, self._known_at - time.monotonic()) if self.two else 0.0
 
--- a/anisespool/peers.py
+++ b/anisespool/peers.py
@@ -42,7 +42,7 @@
         self._logged_at, self._dropped = 0.0, 0
 
     async def open(self) -> None:
-        """Danger: messages are a help, no need. Without them the sidecar still serves. In an upgrade the old
+        """Messages are a help, no need. Without them the sidecar still serves. In an upgrade the old
         process holds the address until it ends its service."""
         loop, complained = asyncio.get_running_loop(), False
         while self._transport is None and not self._closed:
@@ -55,7 +55,7 @@
                 await asyncio.sleep(OPEN_AGAIN_S)
 
     def close(self) -> None:
-        """Danger: requests are still being answered, and what they teach is still told."""
+        """Requests are still being answered, and what they teach is still told."""
         self._closed = True
         if self._transport:
             self._transport.abort()
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -98,11 +98,11 @@
         configuration says, and from then on where `moves` does."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(callback_failed)
-        self._pair.look()  # Danger: the other process would not know of an order taken here before this lock
+        self._pair.look()  # The other process would not know of an order taken here before this lock
         await self._maintenance.load()
         self._open_admin()
         known = self._config.known
-        if self._snapshot:  # Danger: `known` may name as up what drained long since
+        if self._snapshot:  # `known` may name as up what drained long since
             known = self._snapshot.loaded(self._config.names, known)
         self._sidecar.listed(known, RosterForm.CACHED)
         if self._memory:
@@ -181,7 +181,7 @@
             raise ConfigError(f"{name}: {error}") from None
 
     async def _first_list(self, wait_s: float, *otherwise: asyncio.Event) -> None:
-        """Danger: with the old list a new process would send to what is gone."""
+        """With the old list a new process would send to what is gone."""
         waits = [asyncio.ensure_future(event.wait()) for event in (self._watch.heard, *otherwise)]
         await asyncio.wait(waits, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
         for wait in waits:
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -90,7 +90,7 @@
 
     def listed(self, update: MemberList, form: RosterForm | None = None) -> None:
         """The connections learn of it first, so that nothing decided next reaches an endpoint that drains.
-        Danger: that ends attempts, and the module would place them anew by the list it had before; so it
+        That ends attempts, and the module would place them anew by the list it had before; so it
         hears of the list ahead of them."""
         form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
         with self.decisions.held():
@@ -140,7 +140,7 @@
             self._endpoints.send(attempt)
 
     def _stays(self, attempt: Attempt) -> bool:
-        """Whether the attempt may still begin: its client is there. Danger: with the end of a connection yet
+        """Whether the attempt may still begin: its client is there. With the end of a connection yet
         unread, work would be begun that nobody waits for. One that has gone ends the attempt here."""
         if attempt.status is None and self._exchanges[attempt.request_id].is_gone():
             self.client_gone(attempt.request_id)
@@ -205,7 +205,7 @@
     # Who is owed an answer ------------------------------------------------------------------------
 
     def _overdue(self, request_id: int) -> None:
-        """Danger: a silent module would let the client's time run out. 504 promises nothing."""
+        """A silent module would let the client's time run out. 504 promises nothing."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.reply:
             say("driver", "a request was answered 504, as the module did not end it")
--- a/anisespool/state/guard.py
+++ b/anisespool/state/guard.py
@@ -37,7 +37,7 @@
 
 
 def set_aside(path: Path, why: str) -> None:
-    """Danger: a damaged file loaded again at every start would make a crash loop of one fault."""
+    """A damaged file loaded again at every start would make a crash loop of one fault."""
     aside = path.with_name(f"{path.name}.aside-{now_ms()}")
     for suffix in ("", "-wal", "-shm", ".loading"):
         source = path.with_name(path.name + suffix)
--- a/anisespool/state/memory.py
+++ b/anisespool/state/memory.py
@@ -121,7 +121,7 @@
         return [_pin(record) for record in self._store.records(PIN) if not self._pins.has_later(record)]
 
     def _read_pins_of_another_clock(self) -> list[PinRow]:
-        """Each for as long as it was stored for, from now. Danger: the wall clock may have stepped since, and
+        """Each for as long as it was stored for, from now. The wall clock may have stepped since, and
         a pin that is void too early lets a repeat have a second effect."""
         now = now_ms()
         return [_pin(record._replace(until_ms=now + max(0, record.until_ms - record.at_ms)))
--- a/anisespool/state/snapshot.py
+++ b/anisespool/state/snapshot.py
@@ -30,7 +30,7 @@
     write goes at a time, with what has changed since the one before it, the last change always among them."""
 
     def __init__(self, store: Store, known_members: Iterable[Entry]) -> None:
-        """`known_members`: the configuration's list. Danger: discovery's first line may be what changed since
+        """`known_members`: the configuration's list. Discovery's first line may be what changed since
         it, and a list kept of the changes alone would lose all servers that did not change."""
         self._store = store
         self._members = {str(entry["id"]): entry for entry in known_members}
@@ -101,7 +101,7 @@
         """What changed, or all where the store has another list, or the last write failed. Raises
         StoreError."""
         head, before, changed = self._head(), self._etag, self._changed
-        self._changed, self._etag = {}, ""  # Danger: a write that fails may have left anything
+        self._changed, self._etag = {}, ""  # A write that fails may have left anything
         if not before or not await self._store.change_list(head, before, changed):
             head, self._changed = self._head(), {}  # what came meanwhile is in the whole list
             await self._store.replace_list(head, dict(self._members))
--- a/anisespool/state/tables.py
+++ b/anisespool/state/tables.py
@@ -67,7 +67,7 @@
     rows: list[tuple[object, ...]], name: str, now: int, ahead: dict[tuple[str, int], int]
 ) -> dict[str, Order]:
     """The orders of this sidecar at `now`, Unix ms. `ahead`: those from the future, by server and time, and
-    when each was first read; kept up here. Danger: one that is of now at each read would be another order
+    when each was first read; kept up here. One that is of now at each read would be another order
     each time, and its call back another restart."""
     orders, foreign, future = {}, 0, 0
     for sidecar, server, out, at_ms in rows:
@@ -120,7 +120,7 @@
     connection: sqlite3.Connection, name: str, head: ListHead, before: str, changed: Mapping[str, object]
 ) -> bool:
     """Compare and set: write the servers that changed (None: gone), where the list stored is still the one of
-    etag `before`. Danger: over another list they would make one that nobody ever told."""
+    etag `before`. Over another list they would make one that nobody ever told."""
     found = connection.execute("SELECT etag FROM list_heads WHERE sidecar = ?", (name,)).fetchone()
     if found == (head.etag,):  # the other process of an upgrade has written the same
         changed = {}
@@ -159,7 +159,7 @@
         "INSERT OR REPLACE INTO list_heads (sidecar, revision, at_ms, etag) VALUES (?, ?, ?, ?)",
         (name, head.revision, now_ms(), head.etag),
     )
-    # Danger: an earlier release, started again, would take this for the last list.
+    # An earlier release, started again, would take this for the last list.
     connection.execute("DELETE FROM lists WHERE sidecar = ?", (name,))
 
 
--- a/anisespool/steady.py
+++ b/anisespool/steady.py
@@ -59,8 +59,8 @@
             self.epochs_ns = [self.epoch_ns, *self.epochs_ns[1:][2 - MOST_EPOCHS :], epoch_ns]
 
     def passed_ns(self, unix_ms: int) -> int:
-        """The monotonic time of what a wall clock dated, and which has happened: at the latest now. Danger:
-        too early a date makes a cold server pass for warm, so where there are several, it is the latest."""
+        """The monotonic time of what a wall clock dated, and which has happened: at the latest now.
+        Too early a date makes a cold server pass for warm, so where there are several, it is the latest."""
         now_ns, at_ns = time.monotonic_ns(), unix_ms * 1_000_000
         dates = [at_ns - epoch_ns for epoch_ns in self.epochs_ns if at_ns - epoch_ns <= now_ns + SKEW_NS]
         return min(max(dates, default=now_ns), now_ns)
--- a/shuntlead/draw.py
+++ b/shuntlead/draw.py
@@ -28,7 +28,7 @@
         self.size = self._among = 1.0  # ready weight, as far as it is warm, and the part of it drawn from
 
     def _eligible(self, req: Pending, ready: list[Endpoint]) -> list[Endpoint]:
-        # The first of this sidecar's own order: as many as it sends to within a longest target. Danger: with
+        # The first of this sidecar's own order: as many as it sends to within a longest target. With
         # more it opens connections to all, and each server's table fills with those of all sidecars.
         usual = ready[: FEWEST + int(self.asked.read(self._desk.now) * self._desk.longest_ns)]
         group = self._keys.group(req, usual, ready)
@@ -57,7 +57,7 @@
             if e.zone != s.zone:
                 w *= away
             if len(e.out) >= e.held * s.streams_per_conn or now - e.held_at >= s.keepalive_ns / 2:
-                w *= fresh  # Danger: handshakes and full tables of connections take the endpoints' capacity
+                w *= fresh  # Handshakes and full tables of connections take the endpoints' capacity
             size += e.weight * e.ramp
             odds.append(turn / max(w / gather if e is warm else w, 1e-9))
         self._among = len(candidates) / len(ready)
@@ -72,7 +72,7 @@
         return max(near, key=lambda e: mix(key, e.id))
 
     def turn(self, e: Endpoint) -> float:
-        """Danger: a cold endpoint falls over under the sum of what all sidecars send. So each sends it one
+        """A cold endpoint falls over under the sum of what all sidecars send. So each sends it one
         request a turn, and its turns come at its part of what the rule allows: as much as a warm endpoint
         of the size is seen to carry here, times the ramp and the rule's multiple. Phases are dealt evenly.
         By how much its odds rise while it has a turn, to get its due over all; 0: it has none."""
@@ -84,7 +84,7 @@
         return 1 / min(1.0, lasting) if e.turn < floor(e.phase) else 0.0
 
     def _carried(self, now: int) -> float:
-        """Requests per ns that one unit of ready weight answers to this sidecar. Danger: in its first seconds
+        """Requests per ns that one unit of ready weight answers to this sidecar. In its first seconds
         it has seen none, and where all are cold would never see any: then its part of what a core that serves
         one at a time does."""
         desk, rate, usual = self._desk, self.carried, self._estimates.class_ns
--- a/shuntlead/estimates.py
+++ b/shuntlead/estimates.py
@@ -41,7 +41,7 @@
         return max(1.0, min(usual, MAX_SLOWDOWN * self.class_ns[req.event.cls]))  # a hint may be any number
 
     def typical(self, e: Endpoint) -> float:
-        """Danger: of many endpoints most are unheard of, and a slow kind would take a fast one's odds."""
+        """Of many endpoints most are unheard of, and a slow kind would take a fast one's odds."""
         return self.kind_slow.get((e.row.kind, e.zone)) or self.mean_weight / e.weight
 
     def load(self, e: Endpoint) -> float:
@@ -52,14 +52,14 @@
         return max(out, queue + min(e.since, out))
 
     def slowdown(self, e: Endpoint, cls: int | None = None) -> float:
-        """x_i, fading toward the fleet's mean so that one bad sample cannot starve an endpoint. Danger: one
+        """x_i, fading toward the fleet's mean so that one bad sample cannot starve an endpoint. One
         that fails a class and serves the others looks well by its mean: what its class knows comes first."""
         now, forget_ns, slow = self._desk.now, self._desk.forget_ns, self.typical(e)
         slow += (e.slow - slow) * exp2((e.slow_at - now) / forget_ns) if e.slow_at else 0
         if cls in e.by_class:
             own, at = e.by_class[cls]
             slow += (own - slow) * exp2((at - now) / (CLASS_MEMORY * forget_ns))
-        # Danger: a stalled endpoint sends no samples. Waiting for it is a sample; but what it has overtaken
+        # A stalled endpoint sends no samples. Waiting for it is a sample; but what it has overtaken
         # is one lost or long request, and an endpoint shunned for it drives the others into overload.
         oldest = next((a for a in e.out.values() if a.sent > e.answered), None)
         if oldest:
@@ -74,8 +74,8 @@
         seen, share = sum(self._class_seen), min(took / req.cls.target_ns, 1.0)
         self._usual_share += max(CLASS_ALPHA, 1 / seen) * (share - self._usual_share)
         least = self.idle * (1 + IDLE_DRIFT) if seen * CLASS_ALPHA >= 1 else 1.0
-        self.idle = min(least, self._usual_share)  # Danger: idle answers near the target are no overload
-        if req.event.hint_ns is not None:  # Danger: means of different requests drift apart
+        self.idle = min(least, self._usual_share)  # Idle answers near the target are no overload
+        if req.event.hint_ns is not None:  # Means of different requests drift apart
             self._hint_mean[cls] += alpha * (req.event.hint_ns - self._hint_mean[cls])
 
     def learn(self, e: Endpoint, slow: float, at: int) -> None:
@@ -91,7 +91,7 @@
         if status is Status.CANCELLED and sample <= before:
             return False  # given up early
         if status is Status.CONNECT_FAILED:
-            # Nobody is there, for any class. Danger: as one slow answer each, the refusals of a lost zone
+            # Nobody is there, for any class. As one slow answer each, the refusals of a lost zone
             # would use up the re-sends that its requests need.
             e.by_class.clear()  # or their good answers would hide it
             self.learn(e, before + FAIL_ALPHA * (MAX_SLOWDOWN - before), now)
--- a/shuntlead/keys.py
+++ b/shuntlead/keys.py
@@ -26,7 +26,7 @@
         zone, cell, until, _ = self._pins.get(req.event.dedup_key, (0, 0, 0, 0))
         among = ready
         if risky and req.cls.effect is Effect.BY_KEY:
-            # Danger: outside the group, or past its memory, a repeat is a second effect. A copy may need
+            # Outside the group, or past its memory, a repeat is a second effect. A copy may need
             # a connection's time-out and some batches to arrive.
             first, among = risky[0].endpoint.row, usual
             travel = s.connect_timeout_ns + 4 * s.resolution_ns + s.answer_slack_ns
@@ -40,7 +40,7 @@
         return [e for e in among if (e.zone == zone if scope == "zone" else e.row.cell == cell)]
 
     def pin(self, req: Pending, endpoint: Endpoint) -> None:
-        """Danger: a client whose sidecar was killed asks the next process with the same key, and outside the
+        """A client whose sidecar was killed asks the next process with the same key, and outside the
         first attempt's group it would have a second effect."""
         cls, key, now = req.cls, req.event.dedup_key, self._desk.now
         if not key or cls.effect is not Effect.BY_KEY or cls.dedup_scope == "all":
@@ -81,7 +81,7 @@
         return max(0, self._rests.get(req.key, 0) - self._desk.now)
 
     def rest(self, key: int) -> None:
-        """Danger: what timed out or broke may run on beside the next request of its key."""
+        """What timed out or broke may run on beside the next request of its key."""
         self._rests.pop(key, None)
         self._rests[key] = self._desk.now + self._desk.settings.order_settle_ns
         while next(iter(self._rests.values())) < self._desk.now:
--- a/shuntlead/learning.py
+++ b/shuntlead/learning.py
@@ -38,7 +38,7 @@
         share = 1.0 if spent else min(took / req.cls.target_ns, 1.0)
         if status not in (Status.OK, Status.CANCELLED):
             self._desk.log("failing", f"endpoint {e.id}: {status.name}, slowdown {before:.1f}")
-            took = max(took, float(req.cls.deadline_ns))  # Danger: a fast error is not a fast answer
+            took = max(took, float(req.cls.deadline_ns))  # A fast error is not a fast answer
         if status is Status.TIMEOUT and attempt.sent > e.answered:
             self._shedding.timed_out(e)  # else what it answers tells its load
         if status in (Status.OK, Status.TIMEOUT):
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -68,7 +68,7 @@
     def _on_roster(self, roster: api.Roster) -> None:
         desk, s = self.desk, self.settings
         if roster.form is RosterForm.FAILED:
-            # Danger: after a failed call what discovery has counts as told in 6 s, and the next may fail too.
+            # After a failed call what discovery has counts as told in 6 s, and the next may fail too.
             in_use = f"{len(self.members.ready)} endpoints of the last list in use"
             desk.log("discovery", f"a call failed, {in_use}")
             desk.set_timer("ask", int(min(s.ask_within_ns, 6e9) * desk.random.uniform(0.1, 0.3)))
@@ -107,7 +107,7 @@
         if req.done or req.waits():
             return  # woken twice: by a timer and by its turn
         desk, usual = self.desk, self.estimates.usual(req)
-        # Danger: one stuck request holds its key until all behind it are late. They leave while they may.
+        # One stuck request holds its key until all behind it are late. They leave while they may.
         ahead, rest = self.keys.ahead(req), self.keys.rest_ns(req)
         left = req.limit - desk.now - int(ahead * usual) - rest
         if self.tenants.is_over(req):
@@ -159,7 +159,7 @@
             self.keys.leave(req)
 
     def _set_passing(self, req: Pending, attempt: Attempt, passing: bool) -> None:
-        """Danger: a few slow clients of long bodies would pass for load, here and at their endpoint."""
+        """A few slow clients of long bodies would pass for load, here and at their endpoint."""
         change, attempt.passing = passing - attempt.passing, passing
         attempt.endpoint.passing += change
         if not req.done:  # else it is no longer among the open
@@ -177,7 +177,7 @@
             self._finish(req)
 
     def _on_body(self, event: api.BodyMoved) -> None:
-        """Danger: the time that a client takes to send a long body is no wait for the endpoint's answer."""
+        """The time that a client takes to send a long body is no wait for the endpoint's answer."""
         req, now = self.pending.get(event.request), self.desk.now
         if req is None or req.done or event.attempt >= len(req.attempts):
             return
--- a/shuntlead/members.py
+++ b/shuntlead/members.py
@@ -36,7 +36,7 @@
         self.on_ejected: Callable[[], None] = lambda: None
 
     def on_roster(self, roster: api.Roster) -> None:
-        """A list or a change of one; no failed call. Danger: requests wait meanwhile, so it goes by row."""
+        """A list or a change of one; no failed call. Requests wait meanwhile, so it goes by row."""
         self._version = roster.version
         self._hearsay.on_list(roster.form is RosterForm.CACHED)
         if roster.form is not RosterForm.DELTA:
@@ -78,7 +78,7 @@
         self._settle_at = min(filter(None, (self._hearsay.ends_at(), verdicts.next_return(now))), default=0)
 
     def _is_ejected(self, e: Endpoint) -> bool:
-        """Danger: one that all sidecars shunned may have restarted unseen. It comes back cold."""
+        """One that all sidecars shunned may have restarted unseen. It comes back cold."""
         was, e.ejected = e.ejected, self.verdicts.is_out(self._desk.now, e.id)
         if was and not e.ejected:
             e.cold_from, e.warm_at = self._desk.now, self._desk.now + self._desk.settings.cold_ns
@@ -100,7 +100,7 @@
             self.eject(endpoint, status, 0, "here")
 
     def eject(self, endpoint: int, reason: Status, left_ns: int, by: str, own: bool = True) -> None:
-        """Nothing new there for a while, unless too many are out; then it is back, cold. Danger: without one
+        """Nothing new there for a while, unless too many are out; then it is back, cold. Without one
         that fails now and then the others may fall behind, and lose more than it does."""
         now, e = self._desk.now, self.endpoints.get(endpoint)
         up, out = sum(e.ready for e in self.endpoints.values()), self.verdicts.count(now) + 1
@@ -111,7 +111,7 @@
         self._desk.log("ejected", f"{for_s}, {reason.name} {by}; {self.verdicts.count(now)} of {up} out")
         self.settle()
         self.on_ejected()
-        if own:  # Danger: recalled ones too, or a peer that missed the answer to its question never hears
+        if own:  # Recalled ones too, or a peer that missed the answer to its question never hears
             self.tell_verdicts(VERDICT_REPEATS)
 
     def tell_verdicts(self, quickly: int) -> None:
--- a/shuntlead/quotas.py
+++ b/shuntlead/quotas.py
@@ -76,7 +76,7 @@
 
     def part(self, now: int, tenant: int, strained: bool) -> float:
         """The part of a tenant's requests that is admitted: what its quota has room for, and more by as much
-        as the servers have borne of late. Danger: with all or nothing by the moment's strain, a flood comes
+        as the servers have borne of late. With all or nothing by the moment's strain, a flood comes
         and goes with the lag of the servers' reports, and each time fills their queues."""
         passed, parts = now - self._parts[0], self._parts[1]
         if passed >= PARTS_NS:
--- a/shuntlead/records.py
+++ b/shuntlead/records.py
@@ -15,7 +15,7 @@
                  "held_at", "ejected", "phase", "phase_at", "turn", "util", "order")  # fmt: skip
 
     def __init__(self, row: api.Listed, desk: Desk) -> None:
-        # Danger: hundreds of sidecars with a connection to every endpoint fill its table. Each has an order.
+        # Hundreds of sidecars with a connection to every endpoint fill its table. Each has an order.
         self.order = mix(desk.salt, row.endpoint)
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
         self.passing = 0  # of those
--- a/shuntlead/retries.py
+++ b/shuntlead/retries.py
@@ -28,7 +28,7 @@
 
     def waited(self, event: api.Request, cls: api.RequestClass) -> int:
         """How long the client has waited before. A try is given the class's usual time (by majority vote) or
-        all that is left. Danger: in an overload most work would go to retries that cannot be in time."""
+        all that is left. In an overload most work would go to retries that cannot be in time."""
         usual, votes = self._usual_left[event.cls]
         usual = usual if votes else event.left_ns
         same = abs(event.left_ns - usual) <= self._desk.settings.resolution_ns
@@ -36,7 +36,7 @@
         return 0 if same else max(0, cls.deadline_ns - event.left_ns)
 
     def patience(self, req: Pending, usual: float) -> int:
-        """How long an attempt may take before another is made; 0: as long as there is. Danger: at a silent
+        """How long an attempt may take before another is made; 0: as long as there is. At a silent
         endpoint, or where answers are lost, it would use up all the time there was to recover in."""
         early, s = int(PATIENCE * usual), self._desk.settings
         fits = self._desk.now + early + AMPLE * usual < req.aim and len(req.attempts) + 1 < s.attempts_cap
@@ -45,7 +45,7 @@
         return early if fits and repeats else 0
 
     def may_resend(self, req: Pending) -> bool:
-        """Danger: retries feed an overload, and may repeat an effect. First attempts fill their budget."""
+        """Retries feed an overload, and may repeat an effect. First attempts fill their budget."""
         harmful = req.cls.effect is Effect.ONCE and req.risky() or req.streaming
         if harmful or len(req.attempts) >= self._desk.settings.attempts_cap or self._tokens < 1:
             return False
@@ -53,7 +53,7 @@
         return True
 
     def come_back_ns(self, req: Pending, usual: float) -> int:
-        """When a retry may fare better, yet be in time. Danger: told the same, all would come back as one."""
+        """When a retry may fare better, yet be in time. Told the same, all would come back as one."""
         room = req.aim - self._desk.now - int(usual)
         return min(self._desk.settings.max_retry_after_ns,
                    int(max(0, room) * self._desk.random.uniform(*COME_BACK)))  # fmt: skip
--- a/shuntlead/shedding.py
+++ b/shuntlead/shedding.py
@@ -28,7 +28,7 @@
         self.answered = Rate(desk.tightest_ns)  # in time
         self._strain, self._strain_at = 0.0, 0  # as the usual share of the target, of late, all attempts
         self._reported = "util" in s.report_columns
-        # Mean part of the endpoints' cores in use, by their reports of late. Danger: taken for full before
+        # Mean part of the endpoints' cores in use, by their reports of late. Taken for full before
         # any has come, a process that has just started refuses what idle endpoints would serve.
         self.busy, self._reports = 0.0 if self._reported else 1.0, 0
         self._util_column = (*s.report_columns, "util").index("util")
@@ -43,7 +43,7 @@
             self._see_busy(util)
 
     def timed_out(self, e: Endpoint) -> None:
-        """Danger: reports come with answers, and of endpoints that are swamped few come. By the answers alone
+        """Reports come with answers, and of endpoints that are swamped few come. By the answers alone
         the fleet looks half idle while most attempts time out; so the mean is over attempts."""
         if e.util:
             self._see_busy(e.util)
@@ -60,7 +60,7 @@
         return self._strain
 
     def is_swamped(self, e: Endpoint) -> bool:
-        """Danger: at an endpoint whose cores are all in use a slow answer is queueing, no loss. Given up, it
+        """At an endpoint whose cores are all in use a slow answer is queueing, no loss. Given up, it
         costs that work, a new connection and the next attempt's work: a fleet collapses under its repeats."""
         return self._reported and max(e.util, self.busy) >= SPARE
 
@@ -71,15 +71,15 @@
         return used < SPARE * (1 - share)
 
     def too_busy(self, req: Pending, open_now: int, pending: Iterable[Pending]) -> bool:
-        """`open_now`: of the pending ones, those not yet answered. Danger: past capacity all queues grow
+        """`open_now`: of the pending ones, those not yet answered. Past capacity all queues grow
         until every answer is late."""
         desk, age = self._desk, self._desk.now - self._desk.started
-        if self.busy < SPARE:  # Danger: one sidecar's burst, or its few slow answers, is no overload
+        if self.busy < SPARE:  # One sidecar's burst, or its few slow answers, is no overload
             return False
         if age <= desk.tightest_ns:  # a young sidecar has seen too few answers to know their rate
             return False
         part = EXCESS_ROOM if self._is_excess(req.event.tenant) else 1.0
-        # Danger: at a sidecar that sends little the room never fills. It refuses by the waits it sees.
+        # At a sidecar that sends little the room never fills. It refuses by the waits it sees.
         idle = self._estimates.idle
         calm = min(max(self._calm, idle + (1 - idle) * ROOM), MOST_STRAIN)
         busy = desk.random.random() * part < min((self.strain() - calm) / (1 - calm) / STEEP, MOST_STRAIN)
@@ -88,7 +88,7 @@
         rate = self.answered.read(desk.now) / (1 - exp2(-age / self.answered.half_ns))
         room = rate * desk.tightest_ns * calm
         room = (room + sqrt(room) + CHANCE) * part
-        if not busy and open_now > room:  # Danger: what is stuck at a stalled endpoint would fill the room
+        if not busy and open_now > room:  # What is stuck at a stalled endpoint would fill the room
             busy = sum(not r.done and desk.now < r.aim for r in pending) > room
         if busy:
             waits = f"waits {self.strain():.0%} of targets, {self.busy:.0%} of cores in use"
@@ -96,7 +96,7 @@
         return busy
 
     def _is_excess(self, tenant: int) -> bool:
-        """Whether, by a draw, this falls on what its tenant asks beyond its share. Danger: a flood."""
+        """Whether, by a draw, this falls on what its tenant asks beyond its share. A flood."""
         if tenant >= len(self._tenant_rates):
             return False
         now, share = self._desk.now, self._desk.settings.tenants[tenant].share
--- a/shuntlead/talk.py
+++ b/shuntlead/talk.py
@@ -23,7 +23,7 @@
         self._told_at = 0
 
     def tell_peer(self) -> None:
-        """Danger: one of many sidecars hears too little of any endpoint by itself."""
+        """One of many sidecars hears too little of any endpoint by itself."""
         desk, s = self._desk, self._desk.settings
         if not s.may_message or s.fleet_size < 2 or desk.now - self._told_at < desk.tightest_ns:
             return
--- a/shuntlead/verdicts.py
+++ b/shuntlead/verdicts.py
@@ -94,7 +94,7 @@
                      for endpoint, record in self._records.items() if record.until > now)  # fmt: skip
 
     def own(self, now: int) -> tuple[Verdict, ...]:
-        """Of those the ones by own evidence, for peers and the store. Danger: what is hearsay here would come
+        """Of those the ones by own evidence, for peers and the store. What is hearsay here would come
         to count as one more sidecar's word."""
         return tuple(v for v in self.standing(now) if self._records[v.endpoint].own)
 
--- a/tests/scale/hollow.py
+++ b/tests/scale/hollow.py
@@ -123,7 +123,7 @@
         await _cancel([*self._waiting, *self._tasks])
 
     def close(self) -> None:
-        """Danger: a write of the store that is under way on its thread goes on after its task is cancelled,
+        """A write of the store that is under way on its thread goes on after its task is cancelled,
         and a connection that is closed under it ends the process. So the threads have to be over."""
         if self.store:
             self.store.close()
--- a/tests/scale/test_control.py
+++ b/tests/scale/test_control.py
@@ -68,7 +68,7 @@
 
 @pytest.mark.timeout(40)
 async def test_a_change_costs_a_sidecar_as_much_whether_its_list_is_short_or_long(tmp_path: Path) -> None:
-    """Danger: it cost by what was listed: at 9,100, with the store, 15 ms of a core, in which requests wait.
+    """It cost by what was listed: at 9,100, with the store, 15 ms of a core, in which requests wait.
     Both are measured side by side, so that what else the machine does falls on both."""
     short, long = await asyncio.gather(*(change_cost(tmp_path / f"{n}", n) for n in (SHORT, LONG)))
     print(f"{short * 1e3:.2f} ms a change at {SHORT} listed, {long * 1e3:.2f} ms at {LONG}")
--- a/tests/scale_fleet/course.py
+++ b/tests/scale_fleet/course.py
@@ -2,7 +2,7 @@
 
 The course itself (`Watch.run`: call, hold, pause) is written again here, as tens of thousands of real watches
 would take hours; `watches.py` plays real ones against the same stand-in, and the tests hold the two together.
-Danger: a sidecar whose watch stands is not played, its empty lines cost nothing here; `lines.py` has them.
+A sidecar whose watch stands is not played, its empty lines cost nothing here; `lines.py` has them.
 """
 
 from __future__ import annotations
--- a/tests/scale_fleet/lines.py
+++ b/tests/scale_fleet/lines.py
@@ -1,7 +1,7 @@
 """What discovery's lines are in bytes: in the steady state, for a burst of changes and for a whole list.
 
 Bytes are of IP, both ways: a segment's headers and its acknowledgement count as control traffic.
-Danger: the budget is no link's speed. What is over it comes all the same, only dearer than was planned.
+The budget is no link's speed. What is over it comes all the same, only dearer than was planned.
 """
 
 from __future__ import annotations
--- a/tests/scale_fleet/list_cost.py
+++ b/tests/scale_fleet/list_cost.py
@@ -74,7 +74,7 @@
 
 
 def measure(size: int) -> ListCost:
-    """Danger: of a core that others use, too; a median, and no two runs are the same."""
+    """Of a core that others use, too; a median, and no two runs are the same."""
     logging.disable(logging.INFO)
     try:
         with TemporaryDirectory() as folder:
--- a/tests/scale_fleet/scenarios.py
+++ b/tests/scale_fleet/scenarios.py
@@ -93,7 +93,7 @@
 
 
 def region(size: int, seed: int) -> list[Row]:
-    """Cut off for an hour. Danger: a call that hung when the cut healed is taken to hang to its end."""
+    """Cut off for an hour. A call that hung when the cut healed is taken to hang to its end."""
     rows = []
     for per_s in CAPACITIES:
         play = Play(size // REGIONS, size, per_s, True, Start.SILENT, HOUR_S)
--- a/tests/scale_fleet/test_scale_fleet.py
+++ b/tests/scale_fleet/test_scale_fleet.py
@@ -47,7 +47,7 @@
 def test_after_an_outage_200_sidecars_have_a_fresh_list_within_6_s(
     start: Start, down_s: float, costs: bool
 ) -> None:
-    """With discovery that works off 80 calls a second. Danger: refused calls that come again too soon."""
+    """With discovery that works off 80 calls a second. Refused calls that come again too soon."""
     for seed in range(3):
         it = course.recover(Play(200, 200, 80.0, costs, start, down_s), seed)
         assert it.told == 200 and it.last_s <= FRESH_S, it
--- a/tests/scale_fleet/watches.py
+++ b/tests/scale_fleet/watches.py
@@ -118,7 +118,7 @@
 
 @contextmanager
 def _in_memory(loop: asyncio.AbstractEventLoop, discovery: _Discovery) -> Iterator[None]:
-    """Danger: only the clock, the connection and the log are replaced."""
+    """Only the clock, the connection and the log are replaced."""
     patch: Any = mock.patch.multiple
     stand_ins: dict[str, Any] = {"time": SimpleNamespace(monotonic=loop.time), "fault": lambda *_: None}
     with (patch(watch, **stand_ins), patch(stream, **stand_ins),
--- a/tests/scale_path/figures.py
+++ b/tests/scale_path/figures.py
@@ -33,7 +33,7 @@
 
 
 def yardstick_ms() -> float:
-    """Processor time of a fixed piece of work, in Python as the sidecar is. Danger: on cores that other
+    """Processor time of a fixed piece of work, in Python as the sidecar is. On cores that other
     machines share, the same work takes several times the processor time; figures of two moments are to be
     compared by it."""
     began, total = thread_time(), 0
--- a/tests/scale_path/sidecar.py
+++ b/tests/scale_path/sidecar.py
@@ -57,7 +57,7 @@
                 self.say(b"")
 
     async def change(self, per_s: float) -> None:
-        """One row at a time begins to drain, and with the next change is up again. Danger: counted from the
+        """One row at a time begins to drain, and with the next change is up again. Counted from the
         first, so that slow writes do not thin them out."""
         loop, row, began, n = asyncio.get_running_loop(), self._rows[0], asyncio.get_running_loop().time(), 0
         while True:
--- a/tests/scale_path/tables.py
+++ b/tests/scale_path/tables.py
@@ -67,7 +67,7 @@
 
 
 def _differences(direct: Group, through: Group, name: str) -> list[str]:
-    """Of the medians. Danger: the quantile of a difference is something else, and can't be had."""
+    """Of the medians. The quantile of a difference is something else, and can't be had."""
     places = [_quantile(name, place) for place in range(len(QUANTILES))]
     return [f"{through.of(place)[0] - direct.of(place)[0]:.2f}" for place in places]
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -134,7 +134,7 @@
 
 
 def test_an_attempt_that_outlasts_its_kind_is_timed_out_while_there_is_time_for_another() -> None:
-    """Danger: at a silent endpoint, or where answers are lost, waiting uses up the time to recover in."""
+    """At a silent endpoint, or where answers are lost, waiting uses up the time to recover in."""
     car = Sidecar([listed(1), listed(2)])
     car.serve(60, latency_ns=50 * MS)
     [send] = sends(car.request())
@@ -147,7 +147,7 @@
 
 
 def test_no_early_time_out_where_little_time_would_be_left() -> None:
-    """Danger: under load a repeat has no better odds than waiting on, and adds to the load."""
+    """Under load a repeat has no better odds than waiting on, and adds to the load."""
     car = Sidecar([listed(1), listed(2)])
     car.serve(60, latency_ns=150 * MS)
     [send] = sends(car.request())
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -34,7 +34,7 @@
 
 
 def test_long_bodies_on_their_way_are_no_load_at_their_endpoint() -> None:
-    """Danger: where slow clients read long answers, the draw would follow them and not the work."""
+    """Where slow clients read long answers, the draw would follow them and not the work."""
     car = Sidecar([listed(1), listed(2)])
     car.serve(40)
     e = car.balancer.endpoints[1]
--- a/tests/test_clock_starts.py
+++ b/tests/test_clock_starts.py
@@ -63,7 +63,7 @@
 async def test_a_server_that_starts_after_a_step_is_warm_in_its_time(
     tmp_path: Path, step_s: float, everywhere: bool, restarts: bool
 ) -> None:
-    """Danger: dated in the future by the step, it would stay cold for an hour, and get next to nothing."""
+    """Dated in the future by the step, it would stay cold for an hour, and get next to nothing."""
     changes: dict[str, Any] = {"guarantees__cold_ns": SECOND, "guarantees__start_capacity": 0.02}
     warm, cold = Endpoint(slowly), Endpoint(slowly)
     async with warm.serve(), cold.serve(), stepped(tmp_path) as (it, clock):
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -33,14 +33,14 @@
 
 
 def test_a_cold_endpoint_gets_no_more_than_its_part() -> None:
-    """Danger: it falls over. At a quarter of its capacity it may have 2.5 times that of a fair share."""
+    """It falls over. At a quarter of its capacity it may have 2.5 times that of a fair share."""
     fair = 1 / 5
     got = cold_work([listed(n) for n in range(1, 6)], {5}, 5 * MS)
     assert got < 2.5 * 0.5 * fair
 
 
 def test_a_cold_endpoint_is_weighed_by_its_answers_once_there_are_some() -> None:
-    """Danger: its coldness would count twice, and replacements idle beside endpoints that are full."""
+    """Its coldness would count twice, and replacements idle beside endpoints that are full."""
     rows, chosen = [listed(n) for n in range(1, 6)], []
     for seed in range(4):
         car = Sidecar(rows, seed)
@@ -59,7 +59,7 @@
 
 
 def test_the_cold_budget_holds_where_the_draw_prefers_the_cold_endpoint() -> None:
-    """Danger: beside slow warm endpoints a cold one looks best, and would take what pushes it over."""
+    """Beside slow warm endpoints a cold one looks best, and would take what pushes it over."""
     car = Sidecar([listed(1), listed(2)])
     car.serve(100)
     car.roster([listed(2, started_ns=car.now)])
@@ -87,7 +87,7 @@
 
 
 def test_what_is_sent_and_not_answered_does_not_raise_the_cold_budget() -> None:
-    """Danger: where far more is sent than can be done, a part of it is more than a cold one can take."""
+    """Where far more is sent than can be done, a part of it is more than a cold one can take."""
     used = []
     for unanswered in (0, 3):  # for each request that is answered
         car = Sidecar([listed(n) for n in range(1, 5)])
@@ -112,7 +112,7 @@
 
 
 def test_a_sidecar_without_a_past_serves_by_cold_endpoints_alone() -> None:
-    """Danger: of a share of what was answered there is none before the first answer, till all are warm."""
+    """Of a share of what was answered there is none before the first answer, till all are warm."""
     car = Sidecar([listed(n, started_ns=100 * SECOND) for n in range(1, 5)])
     served = 0
     for _ in range(100):
@@ -124,7 +124,7 @@
 
 
 def test_sidecars_that_send_little_use_a_cold_endpoint_too() -> None:
-    """Danger: a part of a request for each window is none at all, and replacements stand idle till warm."""
+    """A part of a request for each window is none at all, and replacements stand idle till warm."""
     hits = 0
     for seed in range(300):
         car = Sidecar([listed(n) for n in range(10)], seed=seed, fleet_size=300, self_index=seed)
@@ -146,7 +146,7 @@
 
 
 def test_a_whole_fleet_cold_at_once_costs_one_pass_a_request() -> None:
-    """Danger: a fleet enlarged fivefold is mostly cold; work per request must stay linear in it."""
+    """A fleet enlarged fivefold is mostly cold; work per request must stay linear in it."""
 
     def calls(size: int) -> int:
         car = Sidecar([listed(n, started_ns=100 * SECOND) for n in range(size)])
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -176,7 +176,7 @@
 
 
 async def test_an_idle_connection_holds_no_parser_of_its_last_answer() -> None:
-    """Danger: each is a cycle with what it has read, which only the collector would free."""
+    """Each is a cycle with what it has read, which only the collector would free."""
     async with Endpoint().serve() as endpoint:
         driver = Driver(endpoint.address)
         await driver.result()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -38,7 +38,7 @@
 async def test_a_long_body_whose_end_waits_for_its_server_does_not_leave_its_client_unread(
     tmp_path: Path,
 ) -> None:
-    """Danger: reading stays paused though the body has ended; the client's next request is never read, and
+    """Reading stays paused though the body has ended; the client's next request is never read, and
     lost when its connection has stood idle for too long."""
     go_on = asyncio.Event()
 
@@ -104,7 +104,7 @@
 
 
 async def test_a_request_whose_last_byte_comes_after_a_planned_end_is_not_sent_on(tmp_path: Path) -> None:
-    """Danger: it would be under way when the process ends, and lost."""
+    """It would be under way when the process ends, and lost."""
     async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
         config = load(write_config(tmp_path, endpoint.address, []))
         listener = Server(it.sidecar, config.names, config.settings, 8)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -54,7 +54,7 @@
 async def test_refused_calls_to_discovery_come_ever_later_and_the_later_the_larger_the_fleet(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Danger: repeats of all sidecars fill the short queue of discovery, and no call is served in time."""
+    """Repeats of all sidecars fill the short queue of discovery, and no call is served in time."""
     monkeypatch.setattr(clock, "LEAST_LONGEST_S", 0.2)
     waits = []
     for fleet_size in (1, 4):
@@ -90,7 +90,7 @@
 async def test_in_the_largest_fleet_discovery_is_still_asked_within_the_time_that_the_settings_allow(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Danger: one that has not asked for so long counts as told, and sends to servers that are gone."""
+    """One that has not asked for so long counts as told, and sends to servers that are gone."""
     monkeypatch.setattr(clock, "LEAST_LONGEST_S", 0.0)
     async with Overbooked().serve() as busy:
         config = load(write_config(tmp_path, busy.address, [member("s-0", busy.address)]))
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -63,7 +63,7 @@
 
 
 def test_an_endpoint_unheard_of_takes_its_kinds_mean() -> None:
-    """Danger: of many endpoints most are unheard of, and a slow kind took a fast one's odds."""
+    """Of many endpoints most are unheard of, and a slow kind took a fast one's odds."""
     fast = [listed(n, kind=0) for n in range(20)]
     slow = [listed(n, kind=1) for n in range(20, 40)]
     car = Sidecar([*fast, *slow], seed=3)
@@ -78,7 +78,7 @@
 
 
 def test_a_sidecar_that_sends_little_keeps_to_few_endpoints_and_a_busy_one_does_not() -> None:
-    """Danger: hundreds of sidecars with connections to all endpoints fill the endpoints' tables."""
+    """Hundreds of sidecars with connections to all endpoints fill the endpoints' tables."""
     rows = [listed(n) for n in range(200)]
     little = Sidecar(rows)
     assert len(set(little.serve(300, latency_ns=900 * MS))) <= 20
@@ -104,7 +104,7 @@
 
 
 def test_a_popular_key_gathers_alike_in_small_and_large_fleets() -> None:
-    """Danger: fixed odds for the warm endpoint are a third in a fleet of ten and a twelfth in one of 73."""
+    """Fixed odds for the warm endpoint are a third in a fleet of ten and a twelfth in one of 73."""
     for size in (10, 80):
         car = Sidecar([listed(n) for n in range(size)], family_info__warm_keys=True)
         counts: dict[int, int] = {}
@@ -131,7 +131,7 @@
 
 
 def test_an_endpoint_with_a_free_connection_is_preferred_by_the_price_of_a_handshake() -> None:
-    """Danger: in a large fleet each sidecar's few requests would open connections to all endpoints."""
+    """In a large fleet each sidecar's few requests would open connections to all endpoints."""
     assert 15 <= again_at_the_first(False) <= 45
     assert again_at_the_first(False, prices__handshake=0.08) > 50
     assert again_at_the_first(True, prices__handshake=0.08) < 45  # its one connection is in use
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -17,7 +17,7 @@
 
 @pytest.mark.parametrize("status", [Status.ERROR, Status.RESET, Status.FULL, Status.CONNECT_FAILED])
 def test_fast_failures_repel_and_are_forgotten(status: Status) -> None:
-    """Danger: an endpoint that fails at once looks fast, and would attract all traffic."""
+    """An endpoint that fails at once looks fast, and would attract all traffic."""
     car = Sidecar([listed(n) for n in range(1, 6)])
 
     def play(rounds: int, broken: bool) -> float:
@@ -64,7 +64,7 @@
 
 
 def test_an_endpoint_that_fails_one_class_loses_that_class_only() -> None:
-    """Danger: the classes that it serves well hide the one that it leaves unanswered."""
+    """The classes that it serves well hide the one that it leaves unanswered."""
     car = Sidecar([listed(n) for n in range(1, 6)])
     late: dict[int, list[int]] = {0: [], 2: []}
     for n in range(600):
@@ -80,7 +80,7 @@
 
 
 def test_a_lost_request_is_no_stalled_endpoint_once_a_later_one_is_answered() -> None:
-    """Danger: each lost answer would turn the others' traffic away from all it happens to, onto the rest."""
+    """Each lost answer would turn the others' traffic away from all it happens to, onto the rest."""
     car = Sidecar([listed(1), listed(2)])
     car.serve(200, cls=2)
     [lost] = sends(car.request(cls=2))
@@ -94,7 +94,7 @@
 
 
 def test_a_failed_connect_repels_more_than_a_slow_answer() -> None:
-    """Danger: the refusals of a lost zone use up the re-sends that its requests need."""
+    """The refusals of a lost zone use up the re-sends that its requests need."""
     failed = 0
     for seed in range(10):
         car = Sidecar([listed(n) for n in range(1, 5)], seed)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -134,7 +134,7 @@
 async def test_neither_a_retry_nor_what_was_sent_ahead_goes_out_for_a_client_that_has_gone(
     tmp_path: Path, leave: Callable[..., None], cls: str
 ) -> None:
-    """Danger: a connection that is not read, as too much was sent ahead, does not tell its end."""
+    """A connection that is not read, as too much was sent ahead, does not tell its end."""
     release = asyncio.Event()
     async with Endpoint(held_until(release)).serve() as endpoint, world(tmp_path, endpoint) as it:
         writer = await send(it, ahead(cls))
@@ -169,7 +169,7 @@
 
 
 async def test_a_client_that_sends_and_goes_at_once_is_not_begun_with(tmp_path: Path) -> None:
-    """Danger: its end is behind its request, and would be read only once the attempt has gone out."""
+    """Its end is behind its request, and would be read only once the attempt has gone out."""
     async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as it:
         await answered(it)
         for n in range(20):  # in one turn of the loop, so the sidecar reads none of it before all have gone
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -51,7 +51,7 @@
 
 
 def test_a_sidecar_that_sends_little_tries_a_failed_endpoint_again() -> None:
-    """Danger: at one request in two seconds, samples are rare; a bad one must not last for ever."""
+    """At one request in two seconds, samples are rare; a bad one must not last for ever."""
     car = Sidecar([listed(1), listed(2), listed(3)])
     for _ in range(6):
         for send in sends(car.request(cls=2)):
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -63,7 +63,7 @@
 
 
 def test_a_key_waits_for_the_outcome_of_a_cancelled_attempt_and_rests() -> None:
-    """Danger: the client has gone, but the attempt may still be running."""
+    """The client has gone, but the attempt may still be running."""
     car = ordered_sidecar()
     [first] = sends(car.request(key=9))
     assert car.balancer.handle(car.now, api.ClientGone(first.request)) == [api.Cancel(first.request, 0)]
@@ -76,7 +76,7 @@
 
 
 def test_those_behind_a_stuck_request_are_refused_before_they_are_late() -> None:
-    """Danger: a popular key's queue would grow until every request in it is late."""
+    """A popular key's queue would grow until every request in it is late."""
     car = ordered_sidecar()
     car.serve(60, latency_ns=200 * MS)
     car.request(key=9)
@@ -89,7 +89,7 @@
 
 
 def test_a_later_request_that_leaves_does_not_send_the_first_again() -> None:
-    """Danger: an unsafe request woken both by its timer and by its turn went out twice."""
+    """An unsafe request woken both by its timer and by its turn went out twice."""
     car = ordered_sidecar()
     [first] = sends(car.request(key=9))
     car.request(key=9)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -40,6 +40,6 @@
 
 
 def test_the_pieces_of_a_long_list_cost_by_their_sum() -> None:
-    """Danger: with each piece joined to those before it, eight times the list cost forty times as much, and a
+    """With each piece joined to those before it, eight times the list cost forty times as much, and a
     list of 9,100 servers a second of a core."""
     assert cpu_ns(whole_list(16_000)) < 24 * cpu_ns(whole_list(2_000))
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -101,7 +101,7 @@
 async def test_after_an_outage_the_whole_fleet_is_told_in_time_whatever_became_of_its_calls(
     tmp_path: Path,
 ) -> None:
-    """Danger: a back-off drawn in the outage, or a call that hung, outlasts the 6 s. A fleet of 200 is played
+    """A back-off drawn in the outage, or a call that hung, outlasts the 6 s. A fleet of 200 is played
     on a virtual clock (tests/test_list_crowd.py): in one process its real connections measure the machine."""
     plays = [(2, 3.0), (5, 3.0)]
     told = await asyncio.gather(*(outage(tmp_path, size, per_s, hangs, 4.0 + hangs)
@@ -151,7 +151,7 @@
 async def test_an_answer_written_before_the_old_watchs_last_words_does_not_undo_them(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Danger: two lists out of order, and a server that drains is up again for as long as nothing changes."""
+    """Two lists out of order, and a server that drains is up again for as long as nothing changes."""
     monkeypatch.setattr(clock, "SIGN_S", 0.1)
     monkeypatch.setattr(clock, "LATE_S", 0.1)
     heard: list[int] = []
@@ -179,7 +179,7 @@
 
 
 async def test_a_move_during_a_call_gives_the_call_up(tmp_path: Path) -> None:
-    """Danger: the old address takes no new connection, and what the new one has counts 4 s after SIGHUP."""
+    """The old address takes no new connection, and what the new one has counts 4 s after SIGHUP."""
     moves = asyncio.Queue[Address]()
     async with Booked(1.0, True).serve() as old, Discovery().serve() as new:
         old.up = False
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -88,7 +88,7 @@
 
 
 async def test_a_slow_answer_of_no_told_length_is_passed_on_as_it_comes(tmp_path: Path) -> None:
-    """Danger: held until it is long, its first bytes come too late."""
+    """Held until it is long, its first bytes come too late."""
     begun = asyncio.Event()
 
     async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -65,7 +65,7 @@
 
 
 def test_a_change_costs_the_same_on_a_long_list(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Danger: at 9,100 listed each one-row change took 6 ms, in which all requests waited."""
+    """At 9,100 listed each one-row change took 6 ms, in which all requests waited."""
     monkeypatch.setattr(members, "WEIGHT", lambda e: e.weight)  # so that it counts as a call
     costs = {}
     for size in (50, 2000):
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -36,7 +36,7 @@
 
 
 def test_each_room_imports_only_rooms_before_it_and_the_standard_library() -> None:
-    """Danger: a socket, a clock or a circle in what decides."""
+    """A socket, a clock or a circle in what decides."""
     rooms = [f"shuntlead.{path.stem}" for path in POLICY]
     for n, path in enumerate(POLICY):
         imported = set()
--- a/tests/test_newcomers.py
+++ b/tests/test_newcomers.py
@@ -68,7 +68,7 @@
     monkeypatch.setattr(server, "ORDER_S", 60.0)
     async with front_with(3, tmp_path) as address:
         first, second, third = [await newcomer(address) for _ in range(3)]
-        # Danger: one that was served is passed over until it has been quiet as long as it was in the order.
+        # One that was served is passed over until it has been quiet as long as it was in the order.
         # The clock that tells stands still, or a stall of this process would be that long.
         still = SimpleNamespace(monotonic=repeat(monotonic()).__next__, monotonic_ns=monotonic_ns)
         monkeypatch.setattr(server, "time", still)
--- a/tests/test_pushed.py
+++ b/tests/test_pushed.py
@@ -29,7 +29,7 @@
 async def test_where_lists_are_pushed_no_client_is_let_in_before_the_first_list_has_come(
     tmp_path: Path, answers: bool
 ) -> None:
-    """Danger: by the list of before the restart it would send to a server that drains. Where discovery cannot
+    """By the list of before the restart it would send to a server that drains. Where discovery cannot
     be had, the agent knows nothing that would count."""
     async with Endpoint().serve() as old, Endpoint().serve() as new, Discovery().serve() as discovery:
         place = discovery.address if answers else Address("127.0.0.1", 1)
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -49,7 +49,7 @@
 async def test_idle_clients_fill_the_descriptors_and_discovery_servers_and_requests_have_theirs(
     tmp_path: Path,
 ) -> None:
-    """Danger: with no descriptor left discovery is never heard again, and nothing new is dialled."""
+    """With no descriptor left discovery is never heard again, and nothing new is dialled."""
     discovery = Discovery()
     listen, place = (Address("127.0.0.1", free_port()) for _ in range(2))
     async with Endpoint().serve() as old, Endpoint().serve() as new:
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -20,7 +20,7 @@
 
 
 def test_a_last_try_that_can_no_longer_be_in_time_is_refused_at_once() -> None:
-    """Danger: in an overload most work would go to retries whose aim has passed. The client gives a try 1.2 s
+    """In an overload most work would go to retries whose aim has passed. The client gives a try 1.2 s
     of its 2 s as a rule; one with 0.9 s left has waited 1.1 s already, past the aim of 0.7 s."""
     car = Sidecar([listed(1), listed(2)])
     for _ in range(5):
@@ -42,7 +42,7 @@
 
 
 def test_a_burst_is_no_overload_while_the_reports_show_free_cores() -> None:
-    """Danger: in a large fleet one sidecar's burst is no load, and its own rate tells nothing of capacity."""
+    """In a large fleet one sidecar's burst is no load, and its own rate tells nothing of capacity."""
     for busy, refused in ((0.5, False), (1.0, True)):
         car = Sidecar([listed(1), listed(2)], report__columns=["util", "queue"])
         for _ in range(100):
@@ -80,7 +80,7 @@
 
 
 def test_idle_answers_near_the_target_do_not_close_the_room() -> None:
-    """Danger: a room of half the target, where idle answers take more, shrinks to next to nothing."""
+    """A room of half the target, where idle answers take more, shrinks to next to nothing."""
     assert refused_at_steady_load(600 * MS, 10 * MS, allowed__may_duplicate=False) < 0.02
 
 
@@ -89,7 +89,7 @@
 
 
 def test_requests_stuck_past_their_aim_do_not_fill_the_room() -> None:
-    """Danger: attempts at a stalled endpoint close the room while the others stand idle."""
+    """Attempts at a stalled endpoint close the room while the others stand idle."""
     late = [{"target-ns": 700 * MS, "deadline-ns": 2 * SECOND, "effect": "once", "late-worth": 0.5}]
     car = Sidecar([listed(1), listed(2)], request_classes=late)
     car.serve(200, latency_ns=100 * MS)
@@ -107,7 +107,7 @@
 
 
 def test_a_heavy_tail_of_hints_does_not_make_all_others_look_hopeless() -> None:
-    """Danger: a mean hint over refused requests drifts from the usual time over answered ones."""
+    """A mean hint over refused requests drifts from the usual time over answered ones."""
     car = Sidecar([listed(1), listed(2)])
     draw = random.Random(4)
     refused = 0
@@ -122,7 +122,7 @@
 
 
 def test_a_flooding_tenant_is_refused_before_those_within_their_share() -> None:
-    """Danger: one tenant's flood takes the room of all others."""
+    """One tenant's flood takes the room of all others."""
     tenants = [{"share": 0.5, "quota-per-s": 9.0}, {"share": 0.5, "quota-per-s": 9.0}]
     car = Sidecar([listed(1), listed(2)], tenants=tenants, over_share_worth=0.1)
     draw, waiting = random.Random(2), []
@@ -140,7 +140,7 @@
 
 
 def test_a_small_sidecar_refuses_by_the_waits_it_sees_and_recovers() -> None:
-    """Danger: at a request a second the room for open requests never fills."""
+    """At a request a second the room for open requests never fills."""
     car = Sidecar([listed(n) for n in range(4)])
     for _ in range(20):
         for send in sends(car.request()):
@@ -181,7 +181,7 @@
 
 
 def test_attempts_that_time_out_at_swamped_endpoints_count_for_their_load_though_no_report_comes() -> None:
-    """Danger: reports come with answers, so by them alone a fleet that collapses looks half idle."""
+    """Reports come with answers, so by them alone a fleet that collapses looks half idle."""
     car = Sidecar([listed(1)], **REPORTS)
     for util in (*[0.2] * 10, 1.0):
         [send] = sends(car.request(2))
@@ -199,7 +199,7 @@
 
 @pytest.mark.parametrize(("util", "early"), [(0.4, True), (0.95, False)])
 def test_an_attempt_is_given_up_early_only_where_cores_are_free(util: float, early: bool) -> None:
-    """Danger: repeats of what merely waits in a queue make the queue longer, and each costs a connection."""
+    """Repeats of what merely waits in a queue make the queue longer, and each costs a connection."""
     car = Sidecar([listed(1)], **REPORTS)
     for _ in range(60):
         [send] = sends(car.request())
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -72,7 +72,7 @@
 
 
 def test_cold_endpoints_of_weights_beyond_all_reason_cost_no_decision() -> None:
-    """Danger: a rate of turns without bound is no number, and each draw would fail."""
+    """A rate of turns without bound is no number, and each draw would fail."""
     car = Sidecar([listed(n, weight=5e-324) for n in range(4)])
     car.serve(100, latency_ns=5 * MS)
     car.roster([listed(4, weight=1e8, started_ns=car.now)])
@@ -95,7 +95,7 @@
 
 
 def test_a_verdict_recalled_after_a_restart_is_told_to_all_peers_like_one_just_found() -> None:
-    """Danger: the answer to a peer that asks at its start may be lost, and nobody asks again."""
+    """The answer to a peer that asks at its start may be lost, and nobody asks again."""
     car = Sidecar([listed(n) for n in range(5)], fleet_size=5, ejection=True, allowed__peers=True)
     actions = car.balancer.handle(car.now, api.Recall((), (api.Verdict(1, 10 * SECOND, Status.RESET),), ()))
     told_at, end = [], car.now + 12 * SECOND
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -120,7 +120,7 @@
 async def test_a_write_under_way_ends_before_the_store_is_closed(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Danger: at the end of a process its task is cancelled, but not the thread."""
+    """At the end of a process its task is cancelled, but not the thread."""
     begun, go_on, done, put = threading.Event(), threading.Event(), list[str](), tables.put_records
 
     def held(connection: sqlite3.Connection, name: str, records: list[Record]) -> None:
--- a/tests/test_warm.py
+++ b/tests/test_warm.py
@@ -51,7 +51,7 @@
 
 
 def lengthen_verdicts(home: Path, n: int) -> None:
-    """Of a sidecar that is down, to the longest there is. Danger: the first lasts 5 s, and the next starts
+    """Of a sidecar that is down, to the longest there is. The first lasts 5 s, and the next starts
     of processes on a busy machine as long."""
     with closing(sqlite3.connect(place(home, f"n{n}"))) as store, store:
         until_ms = now_ms() + LONGEST_NS // 1_000_000
