Take the drains that can be read beside an entry that cannot

Root cause: Watch._take skipped an object of discovery as a whole where Names.member_list could not read one entry of it: a server that drains in the same line got requests until a later line or watch named it again.

Change: its other entries count as changes, at once; nothing is taken for gone by their absence, and the revision stays, so that the next call asks for the rest.

Measured: two new ways of test_out_is_out_whatever_form_the_list_has were not in force in 15 s before, now at once.

--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -183,6 +183,7 @@
         except ValueError as error:
             # One line that nobody can read must not end the watch, nor hide those behind it.
             fault("discovery", UnreadableList(f"a line was skipped: {error}"[:MOST_SHOWN]))
+            self._take_readable(raw, since)
             return
         if since <= update.revision < self.revision:
             return  # Written before the last words of the watch before it, it would undo them
@@ -191,3 +192,11 @@
         if self._on_raw:
             self._on_raw(raw, update)
         self.heard.set()
+
+    def _take_readable(self, raw: dict[str, Any], since: int) -> None:
+        """What can be read of an object counts as known, such as a server that drains. The revision stays, so
+        that the next call asks for the rest anew."""
+        with suppress(ValueError):
+            update = self._names.readable_changes(raw)
+            if not since <= update.revision < self.revision:
+                self._on_list(update)
--- a/tests/test_drain_lists.py
+++ b/tests/test_drain_lists.py
@@ -104,13 +104,16 @@
         "twice in one line, draining last": [change(1, s0, drains)],
         "twice in one line, removed last": [change(1, it.row(0, up_since_ms=5), gone)],
         "an empty line between": [change(1, s1), change(2, gone)],
+        "beside an entry that cannot be read": [change(1, s1 | {"id": "s-7", "phase": "odd"}, drains)],
+        "in a whole list with such an entry": [whole(1, drains, s1, s1 | {"id": "s-7", "size": "big"})],
     }
 
 
 WAYS = ["a whole list without it", "a whole list that has it as draining", "removed, by its id alone",
         "a whole list, and a change behind it", "a change, and a whole list without it",
         "back with a new start, and out", "drains, goes, comes, goes", "twice in one line, draining last",
-        "twice in one line, removed last", "an empty line between"]  # fmt: skip
+        "twice in one line, removed last", "an empty line between", "beside an entry that cannot be read",
+        "in a whole list with such an entry"]  # fmt: skip
 
 
 @pytest.mark.parametrize("way", WAYS)
