--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -47,6 +47,10 @@
         self._held: Stream | None = None
         self._calls: list[Stream] = []
 
+    def list_is_old(self) -> bool:
+        """No fresh list has come for so long that what discovery has may soon count as known."""
+        return self._clock.list_is_old(time.monotonic())
+
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
         watching = asyncio.create_task(self.run(self.start_delay_s))
@@ -182,8 +186,8 @@
             return
         if since <= update.revision < self.revision:
             return  # Danger: written before the last words of the watch before it, it would undo them
-        self.revision = update.revision
         self._on_list(update)
+        self.revision = update.revision  # only now: a fault on the way must not lose the change
         if self._on_raw:
             self._on_raw(raw, update)
         self.heard.set()
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -121,13 +121,15 @@
         if self._config.inherited_fd is not None and self._beside:
             works.append(self._beside.follow())
         tasks = [loop.create_task(work) for work in works]
+        self._server.heartbeat.beat()
         if self._config.inherited_fd is not None:
             await self._first_list(LIST_WAIT_S, stop)
         elif self._config.settings.discovery == "push":
             await self._first_list(PUSHED_WAIT_S, stop, self._watch.failed)
         if self._config.inherited_fd is None and self._warm:
             await self._warm.ask(self._watch.heard)
-            tasks.append(loop.create_task(self._warm.follow(self._watch.heard)))
+            follow = self._warm.follow(self._watch.heard, self._watch.list_is_old)
+            tasks.append(loop.create_task(follow))
         await asyncio.sleep(self._pair.unknown_s())  # or its first keys would be unknown there
         on_listening(self._listen())
         self._operators.serving = True
