--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -181,13 +181,22 @@
         try:
             update = self._names.member_list(raw)
         except ValueError as error:
-            # Danger: one line that nobody can read must not end the watch, nor hide those behind it.
+            # One line that nobody can read must not end the watch, nor hide those behind it.
             fault("discovery", UnreadableList(f"a line was skipped: {error}"[:MOST_SHOWN]))
+            self._take_readable(raw, since)
             return
         if since <= update.revision < self.revision:
-            return  # Danger: written before the last words of the watch before it, it would undo them
+            return  # Written before the last words of the watch before it, it would undo them
         self._on_list(update)
         self.revision = update.revision  # only now: a fault on the way must not lose the change
         if self._on_raw:
             self._on_raw(raw, update)
         self.heard.set()
+
+    def _take_readable(self, raw: dict[str, Any], since: int) -> None:
+        """What can be read of an object counts as known, such as a server that drains. The revision stays, so
+        that the next call asks for the rest anew."""
+        with suppress(ValueError):
+            update = self._names.readable_changes(raw)
+            if not since <= update.revision < self.revision:
+                self._on_list(update)
