--- /dev/null
+++ b/tests/test_older_lists.py
@@ -0,0 +1,90 @@
+"""Lists older than what was told: none brings back what is out, whichever stream, store or peer told it.
+
+The rule: a server that is out, by its id and start, stays out until later word: a later revision, or a new
+start. Real processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import pytest
+
+from tests.fleet import Fleet, fleet
+from tests.net import OK, Discovery, Endpoint, TellingDiscovery, member, member_list, until
+from tests.observer import GRACE_S
+
+SERVERS = 4
+REQUESTS = 30
+OUT = ["draining", "removed", "absent"]
+
+
+class Scene:
+    """One sidecar that discovery has told, with revision 5, that s-0 is out."""
+
+    def __init__(self, it: Fleet, servers: list[Endpoint], stack: AsyncExitStack) -> None:
+        self.it, self.servers, self.stack = it, servers, stack
+        self.rows = [member(f"s-{n}", server.address) for n, server in enumerate(servers)]
+        self.told = TellingDiscovery(member_list(4, self.rows))
+
+    def out(self, how: str) -> dict[str, Any]:
+        if how == "absent":
+            return member_list(5, self.rows[1:])
+        return member_list(5, [self.rows[0] | {"phase": how}], complete=False)
+
+    async def serve(self, line: dict[str, Any]) -> TellingDiscovery:
+        """Another address of discovery, which says this to each new watch."""
+        return await self.stack.enter_async_context(TellingDiscovery(line).serve())
+
+    async def move(self, discovery: Discovery) -> None:
+        path = self.it.home(0) / "config.json"
+        raw = json.loads(path.read_text()) | {"discovery": "{}:{}".format(*discovery.address)}
+        path.with_suffix(".new").write_text(json.dumps(raw))
+        os.replace(path.with_suffix(".new"), path)
+        self.it.processes[0].send_signal(signal.SIGHUP)
+        await until(lambda: bool(discovery.connections))
+
+    async def reached(self) -> set[int]:
+        """The servers that some requests go to, once the sidecar has had time to read what was told."""
+        due_s = monotonic() + 2 * GRACE_S
+        await until(lambda: monotonic() > due_s)
+        for server in self.servers:
+            server.requests.clear()
+        for n in range(REQUESTS):
+            assert await self.it.request(0, f"r{n}") == 200
+        return {n for n, server in enumerate(self.servers) if server.requests}
+
+
+@asynccontextmanager
+async def scene(folder: Path, how: str) -> AsyncIterator[Scene]:
+    async with AsyncExitStack() as stack:
+        servers = [await stack.enter_async_context(Endpoint(OK).serve()) for _ in range(SERVERS)]
+        it = await stack.enter_async_context(fleet(folder, 1))
+        here = Scene(it, servers, stack)
+        await stack.enter_async_context(here.told.serve())
+        await it.start(0, here.told.address, here.rows, revision=4)
+        await until(lambda: bool(here.told.connections))
+        here.told.say(here.out(how))
+        assert await here.reached() == {1, 2, 3}
+        yield here
+
+
+@pytest.mark.timeout(40)
+@pytest.mark.parametrize("revision", [3, 5])
+@pytest.mark.parametrize("how", OUT)
+async def test_an_address_whose_list_is_behind_brings_back_nothing_that_is_out(
+    tmp_path: Path, how: str, revision: int
+) -> None:
+    """Also where it is behind within one revision. Once it has caught up its word counts."""
+    async with scene(tmp_path, how) as here:
+        behind = await here.serve(member_list(revision, here.rows))
+        await here.move(behind)
+        assert await here.reached() == {1, 2, 3}
+        behind.say(member_list(6, [here.rows[0] | {"up_since_ms": 1}], complete=False))
+        assert await here.reached() == {0, 1, 2, 3}
