Log which list is in use and from whom, why requests are sent again, and counters

Change: lines on each list, on peers' lists, on watches that stand and end, on further attempts and failures with ids (bounded), and counters every 5 s (anisespool/telemetry.py). No decision changes.

--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -14,6 +14,7 @@
 from anisespool.discovery.stream import News, Stream
 from anisespool.errors import DiscoverySilent, UnreadableList
 from anisespool.log import fault, say
+from anisespool.telemetry import TELEMETRY
 
 MOST_SHOWN = 200  # characters of what could not be read
 
@@ -79,6 +80,7 @@
                 failure = await self._settled(call)
                 if failure:
                     self.failed.set()
+                    TELEMETRY.count(f"discovery calls {failure.name.lower()}")
                     if self._held and self._held.ended:
                         self._held = None
                     await self._pause(self._clock.failed(call.began_s, time.monotonic(), failure))
@@ -90,6 +92,7 @@
 
     def _open_call(self) -> Stream:
         now_s = time.monotonic()
+        TELEMETRY.count("discovery calls")
         first, others = self._calls[:1], self._calls[1:]
         stalled = [call for call in first if now_s > call.last_byte_s + SIGN_S + LATE_S]
         for call in others + stalled:
@@ -129,6 +132,7 @@
         while self._held and self._held.address == self.address and not self._moved.is_set():
             now_s = time.monotonic()
             if self._held.ended:
+                say("discovery", "the watch at {}:{} ended".format(*self._held.address))
                 self._held = None
                 await self._pause(self._clock.ended(now_s))
                 return
@@ -174,12 +178,14 @@
         self._calls.remove(stream)
         self._close_calls()
         self._held = stream
+        place = "{}:{}".format(*stream.address)
+        say("discovery", f"a watch at {place} stands, asked from revision {stream.since} on")
         self._changed.set()
 
     def _take(self, raw: dict[str, Any], since: int) -> None:
         """`since`: the revision that the stream was asked for changes after."""
         try:
-            update = self._names.member_list(raw)
+            update = self._names.member_list(raw)._replace(source=self._source())
         except ValueError as error:
             # One line that nobody can read must not end the watch, nor hide those behind it.
             fault("discovery", UnreadableList(f"a line was skipped: {error}"[:MOST_SHOWN]))
@@ -193,10 +199,14 @@
             self._on_raw(raw, update)
         self.heard.set()
 
+    def _source(self) -> str:
+        address = self._held.address if self._held else self.address
+        return "{}:{}".format(*address)
+
     def _take_readable(self, raw: dict[str, Any], since: int) -> None:
         """What can be read of an object counts as known, such as a server that drains. The revision stays, so
         that the next call asks for the rest anew."""
         with suppress(ValueError):
-            update = self._names.readable_changes(raw)
+            update = self._names.readable_changes(raw)._replace(source=self._source())
             if not since <= update.revision < self.revision:
                 self._on_list(update)
--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -10,6 +10,7 @@
 
 from anisespool import http1
 from anisespool.flow import Flow
+from anisespool.telemetry import TELEMETRY
 from shuntlead.interface import Status
 
 
@@ -100,6 +101,7 @@
         """The first end is the only one."""
         if self.status is None:
             self.status, self.response = status, response
+            TELEMETRY.count(f"attempts {status.name.lower()}")
             if self.counts is not None and status is not Status.OK:
                 self.counts[status.name] += 1
             self._timer.cancel()
--- a/anisespool/exchange.py
+++ b/anisespool/exchange.py
@@ -10,6 +10,7 @@
 from anisespool import http1
 from anisespool.endpoints import Attempt
 from anisespool.flow import Flow
+from anisespool.telemetry import TELEMETRY
 from shuntlead.interface import Status
 
 ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
@@ -56,11 +57,17 @@
         self._backstop: asyncio.TimerHandle | None = None
         self.streaming = False  # the reply is on its way, and the last attempt brings the rest of it
 
+    @property
+    def trace(self) -> bytes:
+        """The request's id, as its client sent it."""
+        return self.call.request.headers.get(b"x-trace-id", b"")
+
     def answer(self, answer: Answer) -> None:
         """The one final answer; any further one goes nowhere."""
         reply = self.reply
         self.close()
         if reply:
+            TELEMETRY.count(f"answers {answer.status}")
             reply(answer)
 
     def close(self) -> None:
--- a/anisespool/limits.py
+++ b/anisespool/limits.py
@@ -13,6 +13,7 @@
 from anisespool.front.server import Server
 from anisespool.log import say
 from anisespool.sidecar import Sidecar
+from anisespool.telemetry import TELEMETRY
 
 SPARE_SOCKETS = 24  # descriptors for all but clients, endpoints and operators
 ENDPOINTS_PART = 3  # of the descriptors: what clients' requests hold at most, and each wants a server
@@ -42,3 +43,4 @@
             f"{len(asyncio.all_tasks())} tasks; {pages * resource.getpagesize() >> 10} KiB",
         )
         endpoints.log_traffic()
+        TELEMETRY.log_counts()
--- a/anisespool/listing.py
+++ b/anisespool/listing.py
@@ -36,6 +36,7 @@
     revision: int
     complete: bool
     members: tuple[Member, ...]
+    source: str = "configuration"  # who told it, for the log
 
 
 @dataclass(frozen=True)
--- a/anisespool/outside.py
+++ b/anisespool/outside.py
@@ -6,8 +6,9 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
+from anisespool.log import say
 from anisespool.peers import Peers
-from anisespool.servers import Servers
+from anisespool.servers import MOST_NAMED, Servers
 from anisespool.state.learned import LearnedRow, PinRow, Remembered, VerdictRow
 from anisespool.state.records import now_ms
 from shuntlead import interface as api
@@ -21,6 +22,7 @@
         self.on_reports: Callable[[int, tuple[api.TenantReport, ...]], None] = lambda peer, reports: None
         self._shared_reports = api.ShareReports((), (), (), ())
         self._remembered = Remembered((), ())
+        self._peer_lists: dict[int, tuple[int, int]] = {}  # sender -> revision, servers out: as last logged
         self.on_remember: Callable[[], None] = lambda: None  # unasked too: a verdict is not to be lost
         self.on_pin: Callable[[PinRow], None] = lambda row: None
         self.on_verdicts: Callable[[int, Sequence[api.Verdict]], None] = lambda peer, rows: None
@@ -38,9 +40,7 @@
 
     def heard(self, message: api.PeerMessage) -> None:
         known = self.servers.by_shared
-        seen = tuple(
-            s._replace(endpoint=known[s.endpoint]) for s in message.sightings if s.endpoint in known
-        )
+        seen = tuple(s._replace(endpoint=known[s.endpoint]) for s in message.sightings if s.endpoint in known)
         self._handle(message._replace(sightings=seen))
 
     def list_is_old(self) -> None:
@@ -57,11 +57,17 @@
     ) -> None:
         """A peer's list, for the servers whose shared ids lie from low to high."""
         asked = [(shared, n) for shared, n in self.servers.by_shared.items() if low <= shared <= high]
-        event = api.PeerRoster(
-            sender, revision, tuple(n for shared, n in asked if is_up(shared)),
-            tuple(n for shared, n in asked if not is_up(shared)),
-        )  # fmt: skip
-        self._handle(event)
+        up = tuple(n for shared, n in asked if is_up(shared))
+        down = tuple(n for shared, n in asked if not is_up(shared))
+        self._log_peer_list(sender, revision, down)
+        self._handle(api.PeerRoster(sender, revision, up, down))
+
+    def _log_peer_list(self, sender: int, revision: int, down: Sequence[int]) -> None:
+        out = sorted(self.servers.ids[n] for n in down if n in self.servers.ready)
+        if out and self._peer_lists.get(sender) != (revision, len(out)):
+            self._peer_lists[sender] = (revision, len(out))
+            names = " ".join(out[:MOST_NAMED])
+            say("peer list", f"revision {revision} of sidecar {sender} has out, of those up here: {names}")
 
     def peer_verdicts(self, sender: int, rows: Iterable[api.Verdict]) -> None:
         """What a peer holds ejected, by shared ids."""
--- a/anisespool/servers.py
+++ b/anisespool/servers.py
@@ -14,13 +14,13 @@
 from shuntlead.interface import EndpointState, Listed, RosterForm
 
 LATEST_LIST_NS = 15_000_000_000  # by how much a list is late at most, with some to spare
+OPERATORS = "operators"
+MOST_NAMED = 12  # servers in a line of the log
 MOST_LEFT = 4096  # ids remembered of servers that the list no longer has
 
 
 class Servers:
-    def __init__(
-        self, orders: Mapping[str, Order], epoch_ns: int, clock: SteadyClock | None = None
-    ) -> None:
+    def __init__(self, orders: Mapping[str, Order], epoch_ns: int, clock: SteadyClock | None = None) -> None:
         """`orders`: what the operators have said of servers, kept up to date by its owner. `epoch_ns`: Unix
         time less monotonic time, of the clock that dates the orders. `clock`: what dates the servers'
         starts; None leaves them as they were listed."""
@@ -37,17 +37,22 @@
         self.by_shared: dict[int, int] = {}
         self.ready: set[int] = set()
         self._next_number = 0
+        self.last_change = ""  # what the list last taken up has changed, for the log
 
     def apply(self, update: MemberList, form: RosterForm) -> tuple[list[tuple[Member, Listed]], list[int]]:
         """Take up a list or a change. The servers that it has, with their rows for the module, and the
         numbers of those that it no longer has."""
-        self.revision, gone, rows = update.revision, [], []
+        before, was = self.revision, {m.id for m in update.members if self.numbers.get(m.id) in self.ready}
+        self.revision = update.revision
+        gone: list[int] = []
+        rows: list[tuple[Member, Listed]] = []
+        dropped: list[str] = []
         self.discovery_spoke |= form is not RosterForm.CACHED
         if self._clock:
             self._clock.look()
         if form is not RosterForm.DELTA:
-            for absent in self.numbers.keys() - {member.id for member in update.members}:
-                gone.append(self._drop(absent))
+            dropped = sorted(self.numbers.keys() - {member.id for member in update.members})
+            gone += map(self._drop, dropped)
         for member in map(self._dated, update.members):
             number, row = self._number(member), self.ordered(member)
             rows.append((member, row._replace(endpoint=number)))
@@ -57,6 +62,13 @@
             self.members[member.id] = member
             self._left.pop(member.id, None)
             (self.ready.add if row.state == EndpointState.READY else self.ready.discard)(number)
+        now = {member.id for member, row in rows if row.state == EndpointState.READY}
+        form_name = "change" if form is RosterForm.DELTA else "whole list"
+        self.last_change = (
+            f"revision {before} to {update.revision}, {form_name} from {update.source}: "
+            f"out {_some(was - now)}, gone {_some(dropped)}, up {_some(now - was)}; "
+            f"{len(self.ready)} of {len(self.members)} up"
+        )
         return rows, gone
 
     def heard(self) -> None:
@@ -115,8 +127,8 @@
         what peers' later lists say."""
         known = tuple(self.members[m] for m in member_ids if m in self.members)
         if self.discovery_spoke or not known:
-            return MemberList(self.revision, False, known), RosterForm.DELTA
-        return MemberList(self.revision, True, tuple(self.members.values())), RosterForm.CACHED
+            return MemberList(self.revision, False, known, OPERATORS), RosterForm.DELTA
+        return MemberList(self.revision, True, tuple(self.members.values()), OPERATORS), RosterForm.CACHED
 
     def _drop(self, member_id: str) -> int:
         number = self.numbers.pop(member_id)
@@ -137,3 +149,10 @@
 
     def names_of(self, numbers: Iterable[int]) -> list[str]:
         return [self.ids[n] for n in numbers if n in self.ids]
+
+
+def _some(names: Iterable[str]) -> str:
+    """The first of them, for a line of the log."""
+    ordered = sorted(names)
+    more = f" and {len(ordered) - MOST_NAMED} more" if len(ordered) > MOST_NAMED else ""
+    return " ".join(ordered[:MOST_NAMED]) + more or "-"
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -17,6 +17,7 @@
 from anisespool.servers import Servers
 from anisespool.state.records import Order
 from anisespool.steady import CLOCK
+from anisespool.telemetry import TELEMETRY
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
@@ -75,6 +76,7 @@
     def client_gone(self, request_id: int) -> None:
         exchange = self._exchanges.get(request_id)
         if exchange and (exchange.reply or exchange.streaming):
+            TELEMETRY.count("clients gone")
             exchange.close()
             self._handle(api.ClientGone(request_id))
             self._exchanges.abandon(request_id)
@@ -95,6 +97,8 @@
         form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
         with self.decisions.held():
             rows = self._apply(update, form)
+        if update.members or rows:
+            say("list", self.servers.last_change)
         self.decisions.handle_first(api.Roster(update.revision, form, rows))
 
     def _apply(self, update: MemberList, form: RosterForm) -> tuple[api.Listed, ...]:
@@ -134,6 +138,8 @@
         )
         attempt = Attempt(action.request, len(exchange.attempts), action.endpoint, exchange.call.request,
                           deadline, self._ended, self._began, self._body_moved, self._stays)  # fmt: skip
+        if exchange.attempts:
+            self._log_request(exchange, f"attempt {attempt.number} at {self._name(action.endpoint)}")
         exchange.attempts.append(attempt)
         exchange.cap_attempt(attempt)
         if self._stays(attempt):
@@ -184,8 +190,21 @@
         self._exchanges.finish(action.request, Answer(status, text, action.retry_after_ns / 1e9))
 
     def _fail(self, action: api.Fail) -> None:
+        if exchange := self._exchanges.get(action.request):
+            self._log_request(exchange, "failed")
         self._exchanges.finish(action.request, Answer(502, b"failed\n"))
 
+    def _log_request(self, exchange: Exchange, what: str) -> None:
+        before = "unsent"
+        if exchange.attempts:
+            last = exchange.attempts[-1]
+            status = last.status.name if last.status else "no end yet"
+            before = f"attempt {last.number} at {self._name(last.endpoint)} had {status}"
+        TELEMETRY.request(exchange.trace, f"{what}; {before}; list {self.servers.revision}")
+
+    def _name(self, number: int) -> str:
+        return self.servers.ids.get(number, f"endpoint {number}")
+
     def _cancel(self, action: api.Cancel) -> None:
         exchange = self._exchanges.get(action.request)
         if exchange and action.attempt < len(exchange.attempts):
@@ -208,7 +227,7 @@
         """A silent module would let the client's time run out. 504 promises nothing."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.reply:
-            say("driver", "a request was answered 504, as the module did not end it")
+            self._log_request(exchange, "answered 504, as the module did not end it")
             exchange.answer(Answer(504, b"no answer in time\n"))
             self._handle(api.ClientGone(request_id))
             self._exchanges.abandon(request_id)
--- a/anisespool/state/snapshot.py
+++ b/anisespool/state/snapshot.py
@@ -52,7 +52,7 @@
             raw = json.loads(stored[1])
             if raw.get("whole") is not True:
                 raise ValueError("it was kept by a release that stored changes alone")
-            found, etag = names.member_list(raw), stored[0].etag
+            found, etag = names.member_list(raw)._replace(source="state store"), stored[0].etag
             self._digest = int(etag, 16) if etag else None
         except (StoreError, ValueError, AttributeError, RecursionError) as error:
             say("state", f"the stored list is left out: {error}"[:300])
