--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -79,9 +79,7 @@
         self._logged_at = now
         return True
 
-    def update(
-        self, number: int, name: str, address: Address, started_ns: int, open_to_new: bool
-    ) -> None:
+    def update(self, number: int, name: str, address: Address, started_ns: int, open_to_new: bool) -> None:
         pool = self._pools.get(number)
         if pool and (pool.address, pool.started_ns) == (address, started_ns):
             if open_to_new:
--- a/anisespool/front/client.py
+++ b/anisespool/front/client.py
@@ -113,4 +113,3 @@
         elif self._waits.is_late(now) and not (self._waits.left or self._busy or self._closing):
             if not self._parser.in_body or self._waits.is_body_late(now):
                 self.end_wait()
-
--- a/anisespool/http1/requests.py
+++ b/anisespool/http1/requests.py
@@ -109,9 +109,7 @@
     def _request(self, body: bytes, flow: Flow | None = None) -> Request:
         parser = self._parser
         method, keep, version = parser.get_method(), parser.should_keep_alive(), parser.get_http_version()
-        return Request(
-            method, _origin_form(self._target), self._head.headers, body, keep, flow, version
-        )
+        return Request(method, _origin_form(self._target), self._head.headers, body, keep, flow, version)
 
     def on_message_complete(self) -> None:
         self._begun = self.wants_continue = False
--- a/anisespool/state/warm.py
+++ b/anisespool/state/warm.py
@@ -80,9 +80,7 @@
                 await self._peers.opened.wait()
                 for turn, count in enumerate(ASKED):
                     self._ask_some(count, sightings=turn == 0)
-                    done, _ = await asyncio.wait(
-                        ended, timeout=ROUND_S, return_when=asyncio.FIRST_COMPLETED
-                    )
+                    done, _ = await asyncio.wait(ended, timeout=ROUND_S, return_when=asyncio.FIRST_COMPLETED)
                     if done:
                         break
         except TimeoutError:
--- a/shuntlead/wire.py
+++ b/shuntlead/wire.py
@@ -146,9 +146,7 @@
     fields = _ANSWER.unpack_from(body, at)
     instance, request, endpoint, attempt, latency, status, finished, columns = fields
     load, end = _loads(body, at + _ANSWER.size, columns)
-    event = api.Outcome(
-        request, endpoint, attempt, latency, _status(status), bool(finished), load
-    )
+    event = api.Outcome(request, endpoint, attempt, latency, _status(status), bool(finished), load)
     return instance, event, end
 
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -196,9 +196,7 @@
 
 
 @asynccontextmanager
-async def world(
-    folder: Path, *endpoints: Peer, admin: bool = False, **changes: Any
-) -> AsyncIterator[World]:
+async def world(folder: Path, *endpoints: Peer, admin: bool = False, **changes: Any) -> AsyncIterator[World]:
     async with Discovery().serve() as discovery:
         known = [member(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
         env = write_config(folder, discovery.address, known, **changes)
--- a/tests/scale_path/sidecar.py
+++ b/tests/scale_path/sidecar.py
@@ -118,9 +118,7 @@
 
 
 def rows(setting: Setting, ports: list[int]) -> list[dict[str, Any]]:
-    return [
-        member(f"s-{n:08x}", Address("127.0.0.1", ports[n % len(ports)])) for n in range(setting.listed)
-    ]
+    return [member(f"s-{n:08x}", Address("127.0.0.1", ports[n % len(ports)])) for n in range(setting.listed)]
 
 
 def environment(
--- a/tests/support.py
+++ b/tests/support.py
@@ -64,9 +64,7 @@
         self.roster(rows, api.RosterForm.CACHED)
         self._last = 0
 
-    def roster(
-        self, rows: list[api.Listed], form: api.RosterForm = api.RosterForm.DELTA
-    ) -> list[api.Action]:
+    def roster(self, rows: list[api.Listed], form: api.RosterForm = api.RosterForm.DELTA) -> list[api.Action]:
         return self.balancer.handle(self.now, api.Roster(1, form, tuple(rows)))
 
     def request(self, cls: int = 0, left_ns: int = 2 * SECOND, **fields: Any) -> list[api.Action]:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -29,7 +29,6 @@
         writer.close()
 
 
-
 async def until_ready(admin: Address) -> None:
     """Until the process at this operators' address says READY."""
     while True:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -204,7 +204,7 @@
 ) -> None:
     written, stream = [], b""
     for revision, indent, broken in lists:
-        value = member_list(revision, [member("s-{[\"}", Address("h", 1))] * (revision % 3))
+        value = member_list(revision, [member('s-{["}', Address("h", 1))] * (revision % 3))
         text = json.dumps(value, indent=indent).encode()
         if broken:
             text = text[: len(text) // 2].rstrip(b"\n") + b"\n"  # its rest got lost
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -111,7 +111,7 @@
 
 @pytest.mark.parametrize("fleet_size", [1, 2, 5, 30, 200, 5000])
 def test_a_call_that_hung_at_discoverys_return_leaves_the_time_for_one_that_waits_in_its_queue(
-    fleet_size: int
+    fleet_size: int,
 ) -> None:
     """In force since the terms of the stricter acceptance: told 6 s after the return, whatever failed."""
     for _ in range(100):
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -138,7 +138,8 @@
     "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     + chunked(LONG, 9999, b"X-Sum: 7\r\n"),
     "announced": b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
-    + b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG) + LONG,
+    + b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG)
+    + LONG,
     "to the end": b"HTTP/1.1 200 OK\r\n\r\n" + LONG,
 }
 
@@ -228,9 +229,7 @@
         writer.close()
 
 
-async def test_a_head_asks_for_no_body(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+async def test_a_head_asks_for_no_body(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(endpoints, "REST_S", 0.0)  # or the next request would go on another connection
     play = b"HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n"
     async with Endpoint(play).serve() as endpoint, world(tmp_path, endpoint) as it:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -66,7 +66,6 @@
         self.promised[server] = out
         self.unsure.discard(server)
 
-
     async def out(self, admin: Address) -> set[str]:
         answer = (await call(admin, b"STATE\n")).decode()
         found = re.fullmatch(r"SUCCESS store \S+ schema 2; (\d+) out:(.*)\n", answer)
@@ -219,8 +218,10 @@
                 served.append(asyncio.get_running_loop().time() - began)
                 await it.kill(0, wipe=True)
     told = "answer" if answering else "silent"
-    print(f"{stored} stored, peers {told}: READY {statistics.median(ready):.3f}, most {max(ready):.3f} s; "
-          f"first served {statistics.median(served):.3f}, most {max(served):.3f} s")
+    print(
+        f"{stored} stored, peers {told}: READY {statistics.median(ready):.3f}, most {max(ready):.3f} s; "
+        f"first served {statistics.median(served):.3f}, most {max(served):.3f} s"
+    )
     assert max(ready) < WAIT_S + START_S and max(served) < max(ready) + 1.0
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -167,9 +167,7 @@
         self.tell(api.Timer(token))
 
 
-@settings(
-    max_examples=150, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
-)
+@settings(max_examples=150, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 @given(
     seed=strategies.integers(0, 2**32),
     scope=strategies.sampled_from(["all", "zone", "cell"]),
@@ -184,8 +182,17 @@
     ejection=strategies.booleans(),
 )
 def test_the_rules_hold_on_any_legal_day(
-    seed: int, scope: str, duplicate: bool, cancel: bool, cap: int, window: int, late_worth: float,
-    peers: bool, in_order: tuple[int, ...], settle: int, ejection: bool,
+    seed: int,
+    scope: str,
+    duplicate: bool,
+    cancel: bool,
+    cap: int,
+    window: int,
+    late_worth: float,
+    peers: bool,
+    in_order: tuple[int, ...],
+    settle: int,
+    ejection: bool,
 ) -> None:
     raw = raw_settings(
         allowed__may_duplicate=duplicate, allowed__cancel=cancel, allowed__attempts_cap=cap,
--- a/tests/test_warm.py
+++ b/tests/test_warm.py
@@ -140,6 +140,7 @@
 @pytest.mark.timeout(40)
 async def test_an_ejected_server_stays_so_over_a_kill_and_at_a_peer_that_starts(tmp_path: Path) -> None:
     """Both found it bad before they were killed; the third hears of it from their next processes alone."""
+
     async def breaks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         reset(writer)
 
@@ -205,6 +206,7 @@
 ) -> None:
     """Class `keyed` drops repeats within a zone. The first process dies with the request under way, or the
     client's next try comes to the other process of an upgrade."""
+
     async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(30)
 
