Give what is out one owner, so that no old list and no lone peer is passed over

So a sidecar whose calls were refused sent to drained servers past the 6 s, and a list that was behind brought them back. Change: anisespool/withdrawals.py decides for every list, whoever told it: out holds for an id and start until a later revision or start; one peer with a later list is enough (a quorum where nothing would be left), until a list as late; peers are asked as soon as no watch stands; the last lines of a watch that was replaced are read. PeerRoster and the module's hearsay are gone.

--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -16,6 +16,7 @@
 from anisespool.log import fault, say
 from anisespool.telemetry import TELEMETRY
 
+RETIRE_S = 0.5  # for what discovery wrote to a watch before it was asked for the next one
 MOST_SHOWN = 200  # characters of what could not be read
 
 
@@ -23,8 +24,9 @@
     """Keeps the list up to date and hands each change on, in order.
 
     Of its streams at most one is held: the one that has brought a whole line, be it an empty one. Its lines
-    count until another has brought one. The others are calls that have not: the first of them is kept beside
-    a further call while it still brings bytes.
+    make the list until another has brought one. From then on it is read for RETIRE_S more, as its last lines
+    may lie unread: what they take out of use counts. The other streams are calls that have brought no line:
+    the first of them is kept beside a further call while it still brings bytes.
     """
 
     def __init__(
@@ -32,11 +34,13 @@
         on_list: Callable[[MemberList], None], at_once: bool = False,
         on_raw: Callable[[dict[str, Any], MemberList], None] | None = None,
         on_word: Callable[[], None] = lambda: None,
+        on_late: Callable[[MemberList], None] = lambda update: None,
     ) -> None:  # fmt: skip
         """`on_raw`: told of each object as discovery wrote it, after `on_list`. `on_word`: after whatever a
-        watch says, be it an empty line, once it has told its list: nothing else has changed until then."""
+        watch says, be it an empty line, once it has told its list: nothing else has changed until then.
+        `on_late`: told of the last lines of a stream that another has replaced."""
         self.address, self._names, self._on_list, self._on_raw = address, names, on_list, on_raw
-        self._on_word = on_word
+        self._on_word, self._on_late = on_word, on_late
         self.revision = known.revision  # of the list in use
         self._clock = CallClock(fleet_size, ask_within_ns / 1e9, time.monotonic())
         self.start_delay_s = self._clock.start_delay(bool(known.members) and not at_once)
@@ -46,11 +50,16 @@
         self._moved = asyncio.Event()
         self._changed = asyncio.Event()  # something that the course of calls depends on
         self._held: Stream | None = None
+        self._retired: Stream | None = None
         self._calls: list[Stream] = []
 
     def list_is_old(self) -> bool:
-        """No fresh list has come for so long that what discovery has may soon count as known."""
-        return self._clock.list_is_old(time.monotonic())
+        """No watch in order stands at the address that was named last: what changes now is not told here,
+        whatever the calls for another watch have shown."""
+        held = self._held
+        if held is None or held.ended or held.address != self.address:
+            return True
+        return self._clock.silent_for(time.monotonic()) > SIGN_S + LATE_S
 
     async def follow(self, moves: asyncio.Queue[Address]) -> None:
         """Watch for good, each time at the address that was named last."""
@@ -87,8 +96,9 @@
                 await self._until_due()
         finally:
             self._close_calls()
-            if self._held:
-                self._held.close()
+            for stream in (self._held, self._retired):
+                if stream:
+                    stream.close()
 
     def _open_call(self) -> Stream:
         now_s = time.monotonic()
@@ -158,6 +168,8 @@
     def came(self, stream: Stream, news: News) -> None:
         """Of a stream's body. From its first whole line on its lines count, those of the one before no more.
         A watch with a call in its place has been silent for too long: its lines count, but not as life."""
+        if stream is self._retired:
+            self._take_late(stream, news)
         if stream is not self._held and stream not in self._calls:
             return  # closed
         for why in news.skipped:
@@ -174,7 +186,7 @@
 
     def _hold(self, stream: Stream) -> None:
         if self._held:
-            self._held.close()
+            self._retire(self._held)
         self._calls.remove(stream)
         self._close_calls()
         self._held = stream
@@ -182,6 +194,18 @@
         say("discovery", f"a watch at {place} stands, asked from revision {stream.since} on")
         self._changed.set()
 
+    def _retire(self, stream: Stream) -> None:
+        if self._retired:
+            self._retired.close()
+        self._retired = stream
+        asyncio.get_running_loop().call_later(RETIRE_S, stream.close)
+
+    def _take_late(self, stream: Stream, news: News) -> None:
+        source = "{}:{}".format(*stream.address)
+        for raw in news.objects:
+            with suppress(ValueError):
+                self._on_late(self._names.readable_changes(raw)._replace(source=source))
+
     def _take(self, raw: dict[str, Any], since: int) -> None:
         """`since`: the revision that the stream was asked for changes after."""
         try:
--- a/anisespool/operators.py
+++ b/anisespool/operators.py
@@ -67,7 +67,7 @@
         for server in servers:
             state = "out" if self._maintenance.orders[server].out else "called back, and cold from now"
             say("maintenance", f"{server} is {state}")
-        self._sidecar.orders_changed(servers)
+        self._sidecar.refresh(servers)
 
     async def _order(self, server: str, out: bool) -> None:
         if not (self._sidecar.servers.has_listed(server) or server in self._maintenance.orders):
--- a/anisespool/outside.py
+++ b/anisespool/outside.py
@@ -8,21 +8,25 @@
 
 from anisespool.log import say
 from anisespool.peers import Peers
-from anisespool.servers import MOST_NAMED, Servers
+from anisespool.servers import Servers, some
 from anisespool.state.learned import LearnedRow, PinRow, Remembered, VerdictRow
 from anisespool.state.records import now_ms
 from shuntlead import interface as api
 
 
 class Outside:
-    def __init__(self, servers: Servers, handle: Callable[[api.Event], None]) -> None:
-        """`handle` passes an event to the module."""
-        self.servers, self._handle = servers, handle
+    def __init__(
+        self,
+        servers: Servers,
+        handle: Callable[[api.Event], None],
+        refresh: Callable[[Iterable[str]], None] = lambda servers: None,
+    ) -> None:
+        """`handle` passes an event to the module. `refresh`: whether these servers are in use has changed."""
+        self.servers, self._handle, self._refresh = servers, handle, refresh
         self.peers: Peers | None = None  # where datagrams go
         self.on_reports: Callable[[int, tuple[api.TenantReport, ...]], None] = lambda peer, reports: None
         self._shared_reports = api.ShareReports((), (), (), ())
         self._remembered = Remembered((), ())
-        self._peer_lists: dict[int, tuple[int, int]] = {}  # sender -> revision, servers out: as last logged
         self.on_remember: Callable[[], None] = lambda: None  # unasked too: a verdict is not to be lost
         self.on_pin: Callable[[PinRow], None] = lambda row: None
         self.on_verdicts: Callable[[int, Sequence[api.Verdict]], None] = lambda peer, rows: None
@@ -44,30 +48,23 @@
         self._handle(message._replace(sightings=seen))
 
     def list_is_old(self) -> None:
-        """Discovery has not been heard for a while: until its next list, peers may say what is not up."""
-        servers = self.servers
-        servers.discovery_spoke = False
-        rows = tuple(
-            servers.ordered(m)._replace(endpoint=servers.numbers[m.id]) for m in servers.members.values()
-        )
-        self._handle(api.Roster(servers.revision, api.RosterForm.CACHED, rows))
+        """Discovery has not been heard for a while."""
+        self.servers.list_is_old()
 
     def peer_list(
         self, sender: int, revision: int, low: int, high: int, is_up: Callable[[int], bool]
     ) -> None:
         """A peer's list, for the servers whose shared ids lie from low to high."""
-        asked = [(shared, n) for shared, n in self.servers.by_shared.items() if low <= shared <= high]
-        up = tuple(n for shared, n in asked if is_up(shared))
-        down = tuple(n for shared, n in asked if not is_up(shared))
-        self._log_peer_list(sender, revision, down)
-        self._handle(api.PeerRoster(sender, revision, up, down))
-
-    def _log_peer_list(self, sender: int, revision: int, down: Sequence[int]) -> None:
-        out = sorted(self.servers.ids[n] for n in down if n in self.servers.ready)
-        if out and self._peer_lists.get(sender) != (revision, len(out)):
-            self._peer_lists[sender] = (revision, len(out))
-            names = " ".join(out[:MOST_NAMED])
-            say("peer list", f"revision {revision} of sidecar {sender} has out, of those up here: {names}")
+        servers = self.servers
+        asked = {servers.ids[n]: shared for shared, n in servers.by_shared.items() if low <= shared <= high}
+        standing = {server: is_up(shared) for server, shared in asked.items()}
+        changed = servers.peer_said(sender, revision, standing)
+        if not changed:
+            return
+        self._refresh(changed)
+        left = f"{len(servers.ready)} endpoints left, as peers' later lists say"
+        say("hearsay", f"{left}: list {revision} of sidecar {sender} against {servers.revision} here changes "
+            f"{some(changed)}")  # fmt: skip
 
     def peer_verdicts(self, sender: int, rows: Iterable[api.Verdict]) -> None:
         """What a peer holds ejected, by shared ids."""
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from anisespool.admin import Admin
-from anisespool.config import Address, Config
+from anisespool.config import Address, Config, MemberList
 from anisespool.discovery.watch import Watch
 from anisespool.endpoints import Endpoints
 from anisespool.errors import ConfigError
@@ -26,7 +26,7 @@
 from anisespool.sockets import callback_failed
 from anisespool.state.epoch import keep, resume
 from anisespool.state.memory import Memory
-from anisespool.state.snapshot import ListSnapshot
+from anisespool.state.snapshot import Entry, ListSnapshot
 from anisespool.state.store import Store
 from anisespool.state.warm import WarmStart
 from anisespool.steady import CLOCK
@@ -70,7 +70,8 @@
         self._watch = Watch(
             config.discovery, config.names, config.known, settings.fleet_size, settings.ask_within_ns,
             self._sidecar.listed, at_once=config.inherited_fd is not None or settings.discovery == "push",
-            on_raw=self._snapshot.heard if self._snapshot else None, on_word=self._sidecar.servers.heard,
+            on_raw=self._store_list if self._snapshot else None, on_word=self._sidecar.heard,
+            on_late=self._sidecar.withdrawn,
         )  # fmt: skip
         self._watch.make_room = self._server.make_room
         self._beside = BesideRates(self._store, outside) if self._store else None
@@ -149,6 +150,12 @@
         if self._store:
             self._store.close()
 
+    def _store_list(self, raw: Entry, update: MemberList) -> None:
+        """A line of discovery has been taken up."""
+        if self._snapshot:
+            servers = self._sidecar.servers
+            self._snapshot.heard(raw, update, servers.is_behind, servers.is_held)
+
     async def _flush(self) -> None:
         """What is still owed to the store, in a last attempt."""
         owners = (self._maintenance, self._snapshot, self._memory)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 
-from anisespool.config import Config, MemberList
+from anisespool.config import Config, Member, MemberList
 from anisespool.decisions import Decisions
 from anisespool.endpoints import Attempt, Endpoints
 from anisespool.exchange import ANSWER_RESERVE_NS, Answer, Call, Exchange, Exchanges
@@ -28,13 +28,14 @@
         self, config: Config, endpoints: Endpoints, orders: Mapping[str, Order] | None = None
     ) -> None:
         """`orders`: what the operators have said of servers, kept up to date by its owner."""
-        self.servers = Servers({} if orders is None else orders, CLOCK.epoch_ns, CLOCK)
+        fleet_size = config.settings.fleet_size
+        self.servers = Servers({} if orders is None else orders, CLOCK.epoch_ns, CLOCK, fleet_size)
         self.decisions = Decisions(Balancer(config.settings, config.seed), self._handled, self._give_up)
         self._endpoints = endpoints
         self._exchanges = Exchanges()
         self._next_request = 0
         self._end_ns: int | None = None  # monotonic: the last moment for answers, once a shutdown is planned
-        self.outside = Outside(self.servers, self._handle)
+        self.outside = Outside(self.servers, self._handle, self.refresh)
         self.peers = self.outside.peers = Peers(config.peers, self.outside.heard) if config.peers else None
         self.decisions.actions = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
@@ -91,31 +92,41 @@
     # From discovery -------------------------------------------------------------------------------
 
     def listed(self, update: MemberList, form: RosterForm | None = None) -> None:
+        """A list, or a change of one."""
+        form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
+        change = self.servers.apply(update, form)
+        if change.rows or change.gone:
+            say("list", change.summary)
+        self._take_up(change.rows, change.gone, form)
+
+    def withdrawn(self, update: MemberList) -> None:
+        """A later line that is not part of the list in use: only what it takes out counts."""
+        self.refresh(self.servers.withdraw(update))
+
+    def heard(self) -> None:
+        """Discovery has just said all that it has to say."""
+        self.refresh(self.servers.heard())
+
+    def refresh(self, member_ids: Iterable[str]) -> None:
+        """Whether these servers are in use has changed without a list: by the operators, or by peers. To the
+        module that is a change of the list: attempts that wait for a connection are placed anew."""
+        rows = self.servers.refresh(member_ids)
+        if rows:
+            self._take_up(rows, [], RosterForm.DELTA)
+
+    def _take_up(self, rows: list[tuple[Member, api.Listed]], gone: list[int], form: RosterForm) -> None:
         """The connections learn of it first, so that nothing decided next reaches an endpoint that drains.
         That ends attempts, and the module would place them anew by the list it had before; so it
         hears of the list ahead of them."""
-        form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
         with self.decisions.held():
-            rows = self._apply(update, form)
-        if update.members or rows:
-            say("list", self.servers.last_change)
-        self.decisions.handle_first(api.Roster(update.revision, form, rows))
-
-    def _apply(self, update: MemberList, form: RosterForm) -> tuple[api.Listed, ...]:
-        rows, gone = self.servers.apply(update, form)
-        for member, row in rows:
-            if row.state != EndpointState.GONE:
-                up = row.state == EndpointState.READY
-                self._endpoints.update(row.endpoint, member.id, member.address, row.started_ns, up)
-        for number in gone:  # last, as one line may have a server both up and gone
-            self._endpoints.remove(number)
-        return tuple(row for _, row in rows)
-
-    def orders_changed(self, member_ids: Iterable[str]) -> None:
-        """By the operators. As a change of the list: attempts that wait for a connection are placed anew."""
-        update, form = self.servers.reordered(member_ids)
-        if update.members:
-            self.listed(update, form)
+            for member, row in rows:
+                if row.state != EndpointState.GONE:
+                    up = row.state == EndpointState.READY
+                    self._endpoints.update(row.endpoint, member.id, member.address, row.started_ns, up)
+            for number in gone:  # last, as one line may have a server both up and gone
+                self._endpoints.remove(number)
+        entries = tuple(row for _, row in rows)
+        self.decisions.handle_first(api.Roster(self.servers.revision, form, entries))
 
     # The module -----------------------------------------------------------------------------------
 
--- a/anisespool/state/snapshot.py
+++ b/anisespool/state/snapshot.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import reduce
 from hashlib import blake2b
 from operator import xor
@@ -37,6 +37,7 @@
         self._revision = 0
         self._digest: int | None = None  # of `_members`; None: not yet known
         self._etag = ""  # of the stored list that `_members` is, but for `_changed`; "": of none
+        self._in_use: dict[str, Entry] | None = None  # the list in use, while it is behind the stored one
         self._has_news = False  # `_members` is more than the configuration's list
         self._changed: dict[str, Entry | None] = {}  # None: gone
         self._owed = OwedWrite("state", "the list is not stored", "the list is stored again", self._write)
@@ -62,12 +63,35 @@
         say("state", f"starting from the stored list of revision {found.revision}")
         return found
 
-    def heard(self, raw: dict[str, Any], update: MemberList) -> None:
-        """A line of discovery, already read into `update`."""
-        told = {str(entry["id"]): None if entry.get("phase") == "removed" else entry
-                for entry in raw["members"]}  # fmt: skip
+    def heard(
+        self,
+        raw: dict[str, Any],
+        update: MemberList,
+        is_behind: bool = False,
+        is_held: Callable[[str], bool] = lambda server: False,
+    ) -> None:
+        """A line of discovery, already read into `update`. `is_behind`: the list in use is older than one
+        told before, which stays stored until it has caught up. `is_held`: whether a server that the list in
+        use has as up is out all the same, so that the store must not have it as up."""
+        told: dict[str, Entry | None] = {
+            str(entry["id"]): None if entry.get("phase") == "removed" else entry for entry in raw["members"]
+        }
+        if is_behind or self._in_use is not None:
+            self._in_use = _merged(
+                self._members if self._in_use is None else self._in_use, told, update.complete
+            )
+            if is_behind:
+                return
+            told, self._in_use = dict(self._in_use), None
+            update = update._replace(complete=True)
         if update.complete:
             told |= dict.fromkeys(self._members.keys() - told.keys())
+        self._store_told({s: entry for s, entry in told.items() if not (_is_up(entry) and is_held(s))})
+        self._revision = update.revision
+        self._has_news = True
+        self._owed.mark()
+
+    def _store_told(self, told: dict[str, Entry | None]) -> None:
         if self._digest is None:
             self._digest = digest(self._members.values())
         for server, entry in told.items():
@@ -80,9 +104,6 @@
                 del self._members[server]
             else:
                 self._members[server] = entry
-        self._revision = update.revision
-        self._has_news = True
-        self._owed.mark()
 
     async def follow(self) -> None:
         await self._owed.follow()
@@ -109,3 +130,18 @@
 
     def _head(self) -> ListHead:
         return ListHead(self._revision, f"{self._digest or 0:032x}")
+
+
+def _is_up(entry: Entry | None) -> bool:
+    return entry is not None and entry.get("phase") == "up"
+
+
+def _merged(entries: dict[str, Entry], told: dict[str, Entry | None], complete: bool) -> dict[str, Entry]:
+    """The entries after a line of discovery."""
+    after = {} if complete else dict(entries)
+    for server, entry in told.items():
+        if entry is None:
+            after.pop(server, None)
+        else:
+            after[server] = entry
+    return after
--- a/anisespool/state/warm.py
+++ b/anisespool/state/warm.py
@@ -1,7 +1,7 @@
 """Warm start from peers: a sidecar that has just started asks a few others which servers their lists have as
 up, before its own first list has come; they answer with what they hold ejected, too. It asks again while its
 list is old, as discovery's watch was lost and no call has brought another. The decisions are in
-shuntlead/hearsay.py; here are the datagrams (256 bytes at most each) and the waiting.
+anisespool/withdrawals.py; here are the datagrams (256 bytes at most each) and the waiting.
 
 A list goes out in parts, each for itself: of the servers whose shared ids lie from LOW to HIGH, just those
 named are up. A part that is lost leaves its servers as they were.
@@ -90,7 +90,7 @@
                 waiting.cancel()
 
     async def follow(self, heard: asyncio.Event, list_is_old: Callable[[], bool]) -> None:
-        """Ask on until discovery has spoken, and whenever the list is old: servers drain meanwhile."""
+        """Ask on until discovery has spoken, and whenever no watch stands: servers drain meanwhile."""
         was_old = True  # at a start
         while True:
             await asyncio.sleep(random.uniform(0.5, 1.0) * AGAIN_S)
--- a/shuntlead/interface/events.py
+++ b/shuntlead/interface/events.py
@@ -116,15 +116,6 @@
     verdicts: tuple[Verdict, ...]
 
 
-class PeerRoster(NamedTuple):
-    """How endpoints of the list in use stand on a peer's list: up there, or draining or gone."""
-
-    sender: int
-    version: int
-    up: tuple[int, ...]
-    down: tuple[int, ...]
-
-
 class PeerAsked(NamedTuple):
     """A peer that has just started asks what is ejected here, and maybe what was seen of endpoints."""
 
@@ -181,5 +172,5 @@
 
 Event = Union[
     Roster, Request, BodyMoved, FirstByte, Outcome, ClientGone, Timer, ProbeResult, PeerMessage,
-    PeerVerdicts, PeerRoster, PeerAsked, Recall, TakeSnapshot, TenantReports, Beside, TakeReports, Ending,
+    PeerVerdicts, PeerAsked, Recall, TakeSnapshot, TenantReports, Beside, TakeReports, Ending,
 ]  # fmt: skip
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -47,7 +47,7 @@
             api.Timer: self._on_timer, api.ClientGone: self._on_client, api.FirstByte: self._on_first_byte,
             api.BodyMoved: self._on_body, api.PeerMessage: self.talk.hear,
             api.ProbeResult: self._on_probed, api.PeerVerdicts: self.members.hear_verdicts,
-            api.PeerRoster: self.members.hear_roster, api.PeerAsked: self.talk.asked,
+            api.PeerAsked: self.talk.asked,
             api.Recall: self._on_recall, api.TakeSnapshot: lambda event: self.talk.remember(),
             api.TenantReports: self.tenants.hear, api.Beside: self.tenants.hear_beside,
             api.TakeReports: self.tenants.share, api.Ending: self._on_ending}  # fmt: skip
--- a/shuntlead/members.py
+++ b/shuntlead/members.py
@@ -1,6 +1,6 @@
 """The list and its standing: which endpoints there are, and which of them may be sent to.
 
-It owns the Endpoint records, hearsay of peers' lists and the verdicts that eject, and tells peers those."""
+It owns the Endpoint records and the verdicts that eject, and tells peers those."""
 
 from __future__ import annotations
 
@@ -11,7 +11,6 @@
 from shuntlead import interface as api
 from shuntlead.desk import Desk
 from shuntlead.estimates import Estimates
-from shuntlead.hearsay import Hearsay
 from shuntlead.interface import EndpointState, RosterForm, Status
 from shuntlead.records import Endpoint
 from shuntlead.shedding import Shedding
@@ -29,16 +28,13 @@
         self.endpoints: dict[int, Endpoint] = {}
         self.ready: list[Endpoint] = []  # those of the endpoints that may be sent to, in their order
         self._weight = 0.0  # of these in all
-        self._version, self._settle_at = 0, 0  # of the list in use; when next one may be back by itself
-        self._hearsay = Hearsay(desk.settings.fleet_size)
+        self._settle_at = 0  # when next one may be back by itself
         self.verdicts = Verdicts(desk.settings.fleet_size)
         self._telling_at = 0  # when verdicts are to be told next
         self.on_ejected: Callable[[], None] = lambda: None
 
     def on_roster(self, roster: api.Roster) -> None:
         """A list or a change of one; no failed call. Requests wait meanwhile, so it goes by row."""
-        self._version = roster.version
-        self._hearsay.on_list(roster.form is RosterForm.CACHED)
         if roster.form is not RosterForm.DELTA:
             listed = {row.endpoint for row in roster.entries}
             self.endpoints = {n: e for n, e in self.endpoints.items() if n in listed}
@@ -67,15 +63,14 @@
         return self.ready
 
     def settle(self, by_row: bool = False) -> None:
-        """Which may be sent to, by the list, peers and verdicts; `by_row`: each has its place already."""
+        """Which may be sent to, by the list and verdicts; `by_row`: each has its place already."""
         now, verdicts = self._desk.now, self.verdicts
         if not by_row:
             up = [e for e in self.endpoints.values() if e.ready]
-            unheard = self._hearsay.held_out(now, [e.id for e in up])
-            self.ready = sorted((e for e in up if e.id not in unheard and not self._is_ejected(e)), key=ORDER)
+            self.ready = sorted((e for e in up if not self._is_ejected(e)), key=ORDER)
             self._weight = sum(map(WEIGHT, self.ready))
         self._estimates.mean_weight = self._weight / len(self.ready) if self.ready else 1.0
-        self._settle_at = min(filter(None, (self._hearsay.ends_at(), verdicts.next_return(now))), default=0)
+        self._settle_at = verdicts.next_return(now)
 
     def _is_ejected(self, e: Endpoint) -> bool:
         """One that all sidecars shunned may have restarted unseen. It comes back cold."""
@@ -85,13 +80,6 @@
             e.slow_at, e.by_class = 0, {}
         return e.ejected
 
-    def hear_roster(self, event: api.PeerRoster) -> None:
-        if self._hearsay.hear(self._desk.now, event, self._version):
-            before = len(self.ready)
-            self.settle()
-            if len(self.ready) != before:
-                self._desk.log("hearsay", f"{len(self.ready)} endpoints left, as peers' later lists say")
-
     # Ejection -------------------------------------------------------------------------------------
 
     def observe(self, endpoint: int, status: Status) -> None:
