Try again what failed once: reload files, early SIGHUP, addresses in use, tasks

Change: anisespool/reload.py reads until the file can be read, a move's 4 s run from the signal; front/listener.opened tries for 10 s; anisespool/supervision.py logs what ends a task and starts it again; the watch and its moves end together. test_program asked for one line where an address is in use; it is now two, and the exit status 2 as before. service._first_list became waiting.first_of.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -8,34 +8,35 @@
 import sys
 from collections.abc import Callable
 
-from anisespool.config import Address, Config, load, reload_discovery
+from anisespool.config import Address, Config, load
+from anisespool.discovery.watch import Move
 from anisespool.errors import ConfigError
 from anisespool.log import say
+from anisespool.reload import Reload
 from anisespool.service import Service
+from anisespool.supervision import supervise
 
 
 async def run(
     config: Config,
     stop: asyncio.Event,
-    moves: asyncio.Queue[Address],
+    moves: asyncio.Queue[Move],
     on_listening: Callable[[Address], None],
 ) -> None:
     await Service(config).run(stop, moves, on_listening)
 
 
 async def _until_signalled(config: Config) -> None:
-    loop, stop, moves = asyncio.get_running_loop(), asyncio.Event(), asyncio.Queue[Address]()
-
-    def reload() -> None:
-        try:
-            moves.put_nowait(reload_discovery(os.environ))
-        except ConfigError as error:  # a bad file must not cost what works
-            say("anisespool", f"the old configuration stays: {error}")
-
+    loop, stop, reload = asyncio.get_running_loop(), asyncio.Event(), Reload(os.environ, config)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    await run(config, stop, moves, lambda address: None)
+    loop.add_signal_handler(signal.SIGHUP, reload.ask)
+    reload.ask()  # for a signal that came before its handler stood
+    following = loop.create_task(supervise("the configuration's reader", reload.follow))
+    try:
+        await run(config, stop, reload.moves, lambda address: None)
+    finally:
+        following.cancel()
 
 
 def main() -> int:
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -75,10 +75,14 @@
     )
 
 
-def reload_discovery(env: Mapping[str, str]) -> Address:
-    """Where the file, replaced since the start, says that discovery is. The variable is as old as we are."""
+def reload_discovery(env: Mapping[str, str], otherwise: Address | None = None) -> Address:
+    """Where the file, replaced since the start, says that discovery is. The variable is as old as we are.
+    `otherwise`: where it is if the file does not say. ConfigError: the file cannot be read."""
+    raw = _read_file(env)
+    if otherwise and "discovery" not in raw:
+        return otherwise
     try:
-        return Address.parse(_read_file(env).get("discovery"))
+        return Address.parse(raw.get("discovery"))
     except ConfigError:
         raise
     except ValueError as error:
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any
+from typing import Any, NamedTuple
 
 from anisespool.config import Address, MemberList, Names
 from anisespool.discovery.clock import LATE_S, SIGN_S, CallClock
@@ -20,6 +20,13 @@
 MOST_SHOWN = 200  # characters of what could not be read
 
 
+class Move(NamedTuple):
+    """Discovery is at another address from now on."""
+
+    address: Address
+    asked_s: float  # when the platform asked for it, monotonic seconds: from then on its time runs
+
+
 class Watch:
     """Keeps the list up to date and hands each change on, in order.
 
@@ -61,18 +68,21 @@
             return True
         return self._clock.silent_for(time.monotonic()) > SIGN_S + LATE_S
 
-    async def follow(self, moves: asyncio.Queue[Address]) -> None:
-        """Watch for good, each time at the address that was named last."""
-        watching = asyncio.create_task(self.run(self.start_delay_s))
-        try:
-            while True:
-                self.address = await moves.get()
-                say("discovery", "moves to {}:{}".format(*self.address))
-                self._clock.moved(time.monotonic())
-                self._moved.set()
-                self._changed.set()
-        finally:
-            watching.cancel()
+    async def follow(self, moves: asyncio.Queue[Move]) -> None:
+        """Watch for good, each time at the address that was named last. Whatever ends one part of it ends the
+        whole, for the caller to begin anew."""
+        async with asyncio.TaskGroup() as parts:
+            parts.create_task(self.run(self.start_delay_s))
+            parts.create_task(self._follow_moves(moves))
+
+    async def _follow_moves(self, moves: asyncio.Queue[Move]) -> None:
+        while True:
+            move = await moves.get()
+            self.address = move.address
+            say("discovery", "moves to {}:{}".format(*self.address))
+            self._clock.moved(move.asked_s)
+            self._moved.set()
+            self._changed.set()
 
     async def run(self, delay_s: float) -> None:
         """Call, hold the watch, call again. A silent watch stays until a new one has spoken: it may only be
@@ -99,6 +109,7 @@
             for stream in (self._held, self._retired):
                 if stream:
                     stream.close()
+            self._held = self._retired = None
 
     def _open_call(self) -> Stream:
         now_s = time.monotonic()
--- a/anisespool/errors/__init__.py
+++ b/anisespool/errors/__init__.py
@@ -11,7 +11,7 @@
     DiscoveryUnreachable,
     UnreadableList,
 )
-from anisespool.errors.limits import NoDescriptors, NoRoomForClients
+from anisespool.errors.limits import AddressTaken, NoDescriptors, NoRoomForClients
 from anisespool.errors.peers import PeerAddressTaken, PeerMessageDropped
 from anisespool.errors.state import (
     StoreBusy,
@@ -23,8 +23,9 @@
 )
 
 __all__ = [
-    "AdminFault", "ConfigError", "DiscoveryFault", "DiscoveryRefused", "DiscoverySilent",
-    "DiscoveryUnreachable", "Fault", "NoDescriptors", "NoRoomForClients", "NoStore", "NotDurable",
+    "AddressTaken", "AdminFault", "ConfigError", "DiscoveryFault", "DiscoveryRefused",
+    "DiscoverySilent", "DiscoveryUnreachable", "Fault", "NoDescriptors", "NoRoomForClients", "NoStore",
+    "NotDurable",
     "NotServing", "PeerAddressTaken", "PeerMessageDropped", "StoreBusy", "StoreDamaged", "StoreError",
     "StoreForeign", "StoreUnreadable", "UnknownCall", "UnknownServer", "UnreadableList",
     "Unstorable",
--- a/anisespool/errors/configuration.py
+++ b/anisespool/errors/configuration.py
@@ -8,4 +8,7 @@
 class ConfigError(Fault, ValueError):
     """The text names the variable or key, what was found and what is needed."""
 
-    remedy = "mend that variable or key and start again; after SIGHUP the old configuration stays in use"
+    remedy = (
+        "mend that variable or key and start again; "
+        "after SIGHUP the old configuration stays until the file can be read"
+    )
--- a/anisespool/front/listener.py
+++ b/anisespool/front/listener.py
@@ -7,12 +7,24 @@
 import time
 from collections.abc import Callable
 from math import inf
+from typing import TypeVar
 
 from anisespool.config import Address
-from anisespool.errors.system import SystemFailure, classify, concerns_one_peer, described
+from anisespool.errors import AddressTaken, ConfigError
+from anisespool.errors.system import (
+    SystemFailure,
+    classify,
+    concerns_one_peer,
+    described,
+    is_short_here,
+)
 from anisespool.log import fault
+from anisespool.waiting import first_of
 
 QUIET_S = 0.5  # between two lines of the log on failed accepts
+LISTEN_WAIT_S, LISTEN_AGAIN_S = 10.0, 0.05  # for an address that is taken, and between two tries
+
+Opened = TypeVar("Opened")
 
 
 def open_listener(address: Address, backlog: int) -> socket.socket:
@@ -39,6 +51,26 @@
     return listener
 
 
+async def opened(
+    name: str, listen: Callable[[], Opened], stop: asyncio.Event, wait_s: float = LISTEN_WAIT_S
+) -> Opened | None:
+    """What `listen` opens. While the address is in use, as a process before this one may still be ending, or
+    this machine is short of something, it is tried again, for `wait_s`. None: `stop` came first. ConfigError:
+    it cannot be had; `name` says by which setting it was asked for."""
+    until_s, complained = time.monotonic() + wait_s, False
+    while True:
+        try:
+            return listen()
+        except OSError as error:
+            if not is_short_here(error) or time.monotonic() >= until_s:
+                raise ConfigError(f"{name}: {error}") from None
+            if not complained:
+                complained = True
+                fault("anisespool", AddressTaken(f"{name}: {error}"))
+        if await first_of((stop,), LISTEN_AGAIN_S):
+            return None
+
+
 class Acceptor:
     """Owns the reader of one listener: who comes is accepted, and whatever accept(2) fails with, the listener
     is watched again, at once or after a pause."""
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -5,16 +5,15 @@
 import asyncio
 import gc
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from anisespool.admin import Admin
 from anisespool.config import Address, Config, MemberList
-from anisespool.discovery.watch import Watch
+from anisespool.discovery.watch import Move, Watch
 from anisespool.endpoints import Endpoints
-from anisespool.errors import ConfigError
 from anisespool.fleet.beside import BesideRates
 from anisespool.fleet.shared import FleetState
-from anisespool.front.listener import open_listener
+from anisespool.front.listener import open_listener, opened
 from anisespool.front.server import Server
 from anisespool.front.shutdown import Shutdown
 from anisespool.limits import log_resources, shares
@@ -30,6 +29,8 @@
 from anisespool.state.store import Store
 from anisespool.state.warm import WarmStart
 from anisespool.steady import CLOCK
+from anisespool.supervision import supervise
+from anisespool.waiting import first_of
 from shuntlead.interface import Effect, RosterForm
 
 BUFFERS_PART = 8  # of the memory, for long bodies on their way
@@ -93,7 +94,7 @@
         return self._endpoints.busy
 
     async def run(
-        self, stop: asyncio.Event, moves: asyncio.Queue[Address], on_listening: Callable[[Address], None]
+        self, stop: asyncio.Event, moves: asyncio.Queue[Move], on_listening: Callable[[Address], None]
     ) -> None:
         """Until `stop` is set and all that was taken is answered. Discovery is watched where the
         configuration says, and from then on where `moves` does."""
@@ -101,41 +102,34 @@
         loop.set_exception_handler(callback_failed)
         self._pair.look()  # The other process would not know of an order taken here before this lock
         await self._maintenance.load()
-        self._open_admin()
+        if self._config.admin and not await self._open_admin(self._config.admin, stop):
+            return
         known = self._config.known
         if self._snapshot:  # `known` may name as up what drained long since
             known = self._snapshot.loaded(self._config.names, known)
         self._sidecar.listed(known, RosterForm.CACHED)
         if self._memory:
             self._memory.load()
-        works = [self._watch.follow(moves), self._endpoints.sweep(), self._server.sweep(),
-                 log_resources(self._server, self._sidecar, self._endpoints)]  # fmt: skip
-        works += [self._pair.follow(), self._maintenance.follow()]
-        if self._store:
-            works.append(keep(CLOCK, self._store))  # no start waits for the disk
-        if self._snapshot:
-            works.append(self._snapshot.follow())
-        if self._memory:
-            works.append(self._memory.follow())
-        if self._sidecar.peers:
-            works.append(self._sidecar.peers.open())
-        if self._config.inherited_fd is not None and self._beside:
-            works.append(self._beside.follow())
-        tasks = [loop.create_task(work) for work in works]
+        tasks = [loop.create_task(supervise(name, work)) for name, work in self._works(moves)]
         self._server.heartbeat.beat()
         if self._config.inherited_fd is not None:
-            await self._first_list(LIST_WAIT_S, stop)
+            await first_of((self._watch.heard, stop), LIST_WAIT_S)
         elif self._config.settings.discovery == "push":
-            await self._first_list(PUSHED_WAIT_S, stop, self._watch.failed)
+            await first_of((self._watch.heard, stop, self._watch.failed), PUSHED_WAIT_S)
         if self._config.inherited_fd is None and self._warm:
             await self._warm.ask(self._watch.heard)
-            follow = self._warm.follow(self._watch.heard, self._watch.list_is_old)
-            tasks.append(loop.create_task(follow))
+            tasks.append(loop.create_task(supervise("what peers' lists say", self._follow_peers)))
         await asyncio.sleep(self._pair.unknown_s())  # or its first keys would be unknown there
-        on_listening(self._listen())
-        self._operators.serving = True
-        gc.freeze()  # what start-up made stays for good: no collection need look at it
-        await stop.wait()
+        address = await opened(*self._listener(), stop)
+        if address is not None:
+            on_listening(address)
+            self._operators.serving = True
+            gc.freeze()  # what start-up made stays for good: no collection need look at it
+            await stop.wait()
+        await self._end(tasks)
+
+    async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
+        """The planned end: all that was taken is answered, and all that is owed to the store is written."""
         shutdown = self._plan_shutdown()
         self._operators.stopping = True
         if self._sidecar.peers:
@@ -150,6 +144,29 @@
         if self._store:
             self._store.close()
 
+    def _works(self, moves: asyncio.Queue[Move]) -> Iterator[tuple[str, Callable[[], Awaitable[object]]]]:
+        """What runs for as long as the process, by name."""
+        yield "the watch on discovery", lambda: self._watch.follow(moves)
+        yield "the sweep of connections to servers", self._endpoints.sweep
+        yield "the sweep of clients", self._server.sweep
+        yield "the log of resources", lambda: log_resources(self._server, self._sidecar, self._endpoints)
+        yield "the locks of an upgrade", self._pair.follow
+        yield "the orders of operators", self._maintenance.follow
+        if store := self._store:
+            yield "the stored clock", lambda: keep(CLOCK, store)  # no start waits for the disk
+        if self._snapshot:
+            yield "the stored list", self._snapshot.follow
+        if self._memory:
+            yield "the stored memory", self._memory.follow
+        if self._sidecar.peers:
+            yield "the socket of peers", self._sidecar.peers.open
+        if self._config.inherited_fd is not None and self._beside:
+            yield "the other process's rates", self._beside.follow
+
+    async def _follow_peers(self) -> None:
+        if self._warm:
+            await self._warm.follow(self._watch.heard, self._watch.list_is_old)
+
     def _store_list(self, raw: Entry, update: MemberList) -> None:
         """A line of discovery has been taken up."""
         if self._snapshot:
@@ -170,29 +187,20 @@
         self._server.limit(clients)
         self._endpoints.limit(servers)
 
-    def _open_admin(self) -> None:
-        if self._config.admin:
-            try:
-                self._admin.listen(open_listener(self._config.admin, ADMIN_BACKLOG))
-            except OSError as error:
-                raise ConfigError(f"LB_ADMIN_ADDR or key admin_addr: {error}") from None
+    async def _open_admin(self, address: Address, stop: asyncio.Event) -> bool:
+        """False: `stop` came first."""
+        name = "LB_ADMIN_ADDR or key admin_addr"
+        listener = await opened(name, lambda: open_listener(address, ADMIN_BACKLOG), stop)
+        if listener:
+            self._admin.listen(listener)
+        return listener is not None
 
-    def _listen(self) -> Address:
+    def _listener(self) -> tuple[str, Callable[[], Address]]:
+        """The setting that names where clients connect, and what opens that."""
         descriptor = self._config.inherited_fd
-        try:
-            if descriptor is None:
-                return self._server.listen(self._config.listen)
-            return self._server.inherit(descriptor)
-        except OSError as error:
-            name = "LB_LISTEN" if descriptor is None else "LB_INHERITED_FD"
-            raise ConfigError(f"{name}: {error}") from None
-
-    async def _first_list(self, wait_s: float, *otherwise: asyncio.Event) -> None:
-        """With the old list a new process would send to what is gone."""
-        waits = [asyncio.ensure_future(event.wait()) for event in (self._watch.heard, *otherwise)]
-        await asyncio.wait(waits, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
+        if descriptor is None:
+            return "LB_LISTEN", lambda: self._server.listen(self._config.listen)
+        return "LB_INHERITED_FD", lambda: self._server.inherit(descriptor)
 
     def _plan_shutdown(self) -> Shutdown:
         longest_ns = max(c.deadline_ns for c in self._config.settings.classes)
