Answer who is owed an answer before a planned end closes its connection

Cause: the end of connections and the last answers were two timers, and whoever closed took for granted that the other had run. A process that stood still in the very look at its connections got to their end first, and closed 2 of 2 requests unanswered (exit status 0); seen once as test_planned_end's stall at 3.3 s beside a full machine, with ['owed', 'late'] lost.

--- a/anisespool/exchange.py
+++ b/anisespool/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from anisespool import http1
@@ -62,6 +62,19 @@
         """The request's id, as its client sent it."""
         return self.call.request.headers.get(b"x-trace-id", b"")
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the request's last byte has come."""
+        return self.call.request.flow is None or self.call.request.flow.done
+
+    def last_attempt(self, names: Mapping[int, str]) -> str:
+        """For the log: where it was sent last, and how that ended. `names`: the servers' ids by number."""
+        if not self.attempts:
+            return "unsent"
+        last = self.attempts[-1]
+        status = last.status.name if last.status else "no end yet"
+        return f"attempt {last.number} at {names.get(last.endpoint, 'a server that is gone')} had {status}"
+
     def answer(self, answer: Answer) -> None:
         """The one final answer; any further one goes nowhere."""
         reply = self.reply
@@ -108,6 +121,10 @@
 class Exchanges(dict[int, Exchange]):
     """By request."""
 
+    def owed(self) -> list[int]:
+        """The requests that have come whole and have no answer yet."""
+        return [number for number, exchange in self.items() if exchange.reply and exchange.is_whole]
+
     def finish(self, request_id: int, answer: Answer) -> None:
         exchange = self.get(request_id)
         if exchange and exchange.reply:
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -128,8 +128,6 @@
         entries = tuple(row for _, row in rows)
         self.decisions.handle_first(api.Roster(self.servers.revision, form, entries))
 
-    # The module -----------------------------------------------------------------------------------
-
     def _handle(self, event: api.Event) -> None:
         self.decisions.handle(event)
 
@@ -150,7 +148,8 @@
         attempt = Attempt(action.request, len(exchange.attempts), action.endpoint, exchange.call.request,
                           deadline, self._ended, self._began, self._body_moved, self._stays)  # fmt: skip
         if exchange.attempts:
-            self._log_request(exchange, f"attempt {attempt.number} at {self._name(action.endpoint)}")
+            place = self.servers.ids.get(action.endpoint)
+            self._log_request(exchange, f"attempt {attempt.number} at {place}")
         exchange.attempts.append(attempt)
         exchange.cap_attempt(attempt)
         if self._stays(attempt):
@@ -206,16 +205,9 @@
         self._exchanges.finish(action.request, Answer(502, b"failed\n"))
 
     def _log_request(self, exchange: Exchange, what: str) -> None:
-        before = "unsent"
-        if exchange.attempts:
-            last = exchange.attempts[-1]
-            status = last.status.name if last.status else "no end yet"
-            before = f"attempt {last.number} at {self._name(last.endpoint)} had {status}"
+        before = exchange.last_attempt(self.servers.ids)
         TELEMETRY.request(exchange.trace, f"{what}; {before}; list {self.servers.revision}")
 
-    def _name(self, number: int) -> str:
-        return self.servers.ids.get(number, f"endpoint {number}")
-
     def _cancel(self, action: api.Cancel) -> None:
         exchange = self._exchanges.get(action.request)
         if exchange and action.attempt < len(exchange.attempts):
@@ -243,6 +235,13 @@
             self._handle(api.ClientGone(request_id))
             self._exchanges.abandon(request_id)
 
+    def answer_all(self) -> bool:
+        """The process ends: who is still owed an answer gets one. Whether anybody was."""
+        owed = self._exchanges.owed()
+        for request_id in owed:
+            self._overdue(request_id)
+        return bool(owed)
+
     def _give_up(self, request_id: int) -> None:
         exchange = self._exchanges.get(request_id)
         if exchange:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,8 +5,9 @@
 import asyncio
 import signal
 import socket
+from contextlib import AsyncExitStack
 from pathlib import Path
-from time import monotonic
+from time import monotonic, monotonic_ns, sleep
 
 import pytest
 
@@ -16,7 +17,7 @@
 from anisespool.front.shutdown import Shutdown, Stage
 from shuntlead import interface as api
 from shuntlead.interface import Status
-from tests.net import Endpoint, held_until, raw_call, read_response, until, write_config
+from tests.net import Endpoint, held_until, raw_call, read_response, until, world, write_config
 from tests.planned_end import classes_with, end_now, sidecar
 from tests.support import MS, SECOND, Sidecar, finals, listed, sends
 from tests.test_driver import driven, send_once
@@ -157,3 +158,30 @@
         await server.stop(end_now())
         if not is_inherited:
             held.close()
+
+
+async def test_a_process_that_stands_still_past_the_last_answers_answers_before_it_closes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Held up in the very look at the connections, it gets to their end before the timers of the answers."""
+    end_stages, stalled = Server._end_stages, False
+
+    def stall(server: Server, shutdown: Shutdown) -> None:
+        nonlocal stalled
+        if not stalled and monotonic_ns() >= shutdown.answer_by_ns - 100 * MS:
+            stalled = True
+            sleep((shutdown.close_by_ns - monotonic_ns()) / SECOND + 0.05)
+        end_stages(server, shutdown)
+
+    monkeypatch.setattr(Server, "_end_stages", stall)
+    async with AsyncExitStack() as stack:
+        silent = await stack.enter_async_context(Endpoint(say_nothing).serve())
+        it = await stack.enter_async_context(world(tmp_path, silent, request_classes=classes_with(1.0)))
+        reader, writer = await asyncio.open_connection(*it.address)
+        await until(lambda: bool(it.service._sidecar.ready))
+        it.stop.set()
+        await asyncio.sleep(0.3)  # new connections are accepted; this request's time goes past the kill
+        writer.write(raw_call("once", left_ms=10_000))
+        assert (await read_response(reader)).status in (502, 503, 504)
+        assert stalled
+        writer.close()
