Play a seeded soak: processes, discovery, servers, clients and faults, judged from outside

Clients use open connections until SIGKILL, at the protocol's earliest. A process whose stored list is in use asks discovery for what follows that, not for what follows the configuration's list; the soak showed it with a store of another run. Tests of older lists over a restart and of a replaced watch's last words.

--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -108,6 +108,7 @@
         if self._snapshot:  # `known` may name as up what drained long since
             known = self._snapshot.loaded(self._config.names, known)
         self._sidecar.listed(known, RosterForm.CACHED)
+        self._watch.revision = known.revision  # what is asked for is what follows the list in use
         if self._memory:
             self._memory.load()
         tasks = [loop.create_task(supervise(name, work)) for name, work in self._works(moves)]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -87,6 +87,7 @@
     def __init__(self, folder: Path, relay: Relay) -> None:
         self._folder, self.relay, self._starts = folder, relay, 0
         self.module, self.env = "anisespool", dict[str, str]()  # what is run, and variables beside its own
+        self.program: Path | None = None  # the checkout that is run; None: this one
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.listen: dict[int, Address] = {}
         self.admin: dict[int, Address] = {}
@@ -122,7 +123,7 @@
         with open(home / "log", "ab") as log:
             self.processes[process] = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", self.module, env=os.environ | self.env | env, stderr=log,
-                preexec_fn=limit, pass_fds=kept,
+                preexec_fn=limit, pass_fds=kept, cwd=self.program,
             )  # fmt: skip
         async with asyncio.timeout(START_S):
             await until_ready(self.admin[process])
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,237 @@
+"""One run of the soak: a plan in, what broke the rules out."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+from collections import Counter
+from collections.abc import Callable
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass
+from pathlib import Path
+from time import monotonic
+
+from anisespool.config import Address
+from tests.fleet import Fleet, Relay
+from tests.net import member
+from tests.soak.clients import Client, crowd
+from tests.soak.discovery import History, View
+from tests.soak.judge import Judge
+from tests.soak.plan import LENGTH_S, OUTAGES, Act, DiscoveryFault, Plan, ProcessEvent, ServerEvent
+from tests.soak.record import End, Life, Record
+from tests.soak.servers import Server
+
+LONGEST_COUNTED_S, KILL_AFTER_S = 3.0, 0.7  # from SIGTERM to SIGKILL, by the protocol
+SLICE_S = 0.04  # of a process's share of a core
+STALL_S = 0.15
+CROWD, CROWD_S = 300, 3.0
+HALF_WRITTEN_S = 0.05
+
+Event = DiscoveryFault | ProcessEvent | ServerEvent
+
+
+@dataclass(frozen=True)
+class Outcome:
+    plan: Plan
+    violations: list[str]
+    requests: int
+    answers: dict[int, int]  # by status
+    attempts: int
+
+    def __str__(self) -> str:
+        answers = " ".join(f"{status}:{count}" for status, count in sorted(self.answers.items()))
+        kinds = Counter(text.partition(":")[0] for text in self.violations)
+        broken = ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())) or "none"
+        size = f"{self.plan.processes} processes, {self.plan.servers} servers, {self.plan.deadline_s:.1f} s"
+        return f"seed {self.plan.seed}: {size}: {self.requests} requests ({answers}), broken: {broken}"
+
+
+class Play:
+    def __init__(self, plan: Plan, fleet: Fleet, folder: Path) -> None:
+        self.plan, self.fleet, self.folder = plan, fleet, folder
+        self.history, self.record = History(), Record()
+        self.servers = [Server(n, plan.seed, self.record) for n in range(plan.servers)]
+        self.views = [
+            [View(n, lag_s, plan, self.history, self.record) for lag_s in (0.0, plan.lag_s)]
+            for n in range(plan.processes)
+        ]
+        self.at = [0] * plan.processes  # which of its two addresses of discovery a process is at
+        self._ending = [False] * plan.processes
+        self._rng = random.Random(f"{plan.seed}-play")
+
+    async def run(self) -> None:
+        async with AsyncExitStack() as stack:
+            for server in self.servers:
+                await server.open()
+                stack.callback(server.stop)
+            self.history.add({s.id: member(s.id, s.address) for s in self.servers})
+            for view in [view for pair in self.views for view in pair]:
+                await view.open()
+                stack.callback(view.close)
+            await asyncio.gather(*(self._start(n) for n in range(self.plan.processes)))
+            async with asyncio.TaskGroup() as tasks:
+                clients = [
+                    tasks.create_task(Client(n, m, self.plan, self.record, self._place(n)).run())
+                    for n in range(self.plan.processes)
+                    for m in range(self.plan.clients)
+                ]
+                slices = [tasks.create_task(self._slice(n)) for n in range(self.plan.processes)]
+                await self._events()
+                for task in clients + slices:
+                    task.cancel()
+
+    def _place(self, process: int) -> Callable[[], tuple[Address, int]]:
+        return lambda: (self.fleet.listen[process], len(self.record.lives[process]) - 1)
+
+    async def _events(self) -> None:
+        began_s = monotonic()
+
+        async def at(event: Event) -> None:
+            await asyncio.sleep(began_s + event.at_s - monotonic())
+            if isinstance(event, DiscoveryFault):
+                await self._fault(event)
+            elif isinstance(event, ServerEvent):
+                await self._change(event)
+            else:
+                await self._act(event)
+
+        async with asyncio.TaskGroup() as events:
+            planned: list[Event] = [*self.plan.faults, *self.plan.acts, *self.plan.changes]
+            for event in planned:
+                events.create_task(at(event))
+            events.create_task(asyncio.sleep(LENGTH_S))
+
+    # Discovery and servers ------------------------------------------------------------------------------
+
+    async def _fault(self, fault: DiscoveryFault) -> None:
+        views = [v for n, pair in enumerate(self.views) for v in pair if n != fault.spared]
+        began_s = monotonic()
+        for view in views:
+            view.begin(fault)
+        if fault.kind not in OUTAGES:
+            return
+        await asyncio.sleep(fault.length_s)
+        for view in views:
+            view.end()
+        if fault.spared is None:
+            self.record.outages.append((began_s, monotonic()))
+
+    async def _change(self, event: ServerEvent) -> None:
+        server = self.servers[event.server]
+        server.is_draining, server.hangs = True, event.hangs
+        self.history.change(server.id, server.address, "draining", server.start_ms)
+        await asyncio.sleep(event.drains_s)
+        server.stop()
+        self.history.change(server.id, server.address, "removed", server.start_ms)
+        await asyncio.sleep(event.away_s)
+        await server.restart()
+        self.history.change(server.id, server.address, "up", server.start_ms)
+
+    # Processes --------------------------------------------------------------------------------------------
+
+    async def _start(self, n: int) -> None:
+        told = max(self.record.written.get(n, {0: 0.0}))
+        life = Life(monotonic())
+        self.record.lives.setdefault(n, []).append(life)
+        self.record.wrote(n, told, life.began_s)
+        rows = list(self.history.states[told].values())
+        address = self.views[n][self.at[n]].address
+        await self.fleet.start(n, address, rows, told, **self.plan.settings())
+        life.ready_s = monotonic()
+
+    async def _act(self, event: ProcessEvent) -> None:
+        n = event.process
+        if self._ending[n] or not self.record.lives[n][-1].ready_s:
+            return
+        if event.act in (Act.TERMINATE, Act.KILL):
+            self._ending[n] = True
+            await (self._terminate(n) if event.act is Act.TERMINATE else self._kill(n))
+            await self._start(n)
+            self._ending[n] = False
+        elif event.act in (Act.MOVE, Act.MOVE_HALF):
+            await self._move(n, half=event.act is Act.MOVE_HALF)
+        elif event.act is Act.STALL:
+            self._signal(n, signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.02, STALL_S))
+            self._signal(n, signal.SIGCONT)
+        else:
+            await crowd(self.fleet.listen[n], CROWD, CROWD_S)
+
+    async def _terminate(self, n: int) -> None:
+        """Signals in series; SIGKILL at the earliest that the protocol has."""
+        process, life = self.fleet.processes[n], self.record.lives[n][-1]
+        life.term_s = monotonic()
+        self._signal(n, signal.SIGTERM)
+        if self._rng.random() < 0.3:
+            await asyncio.sleep(self._rng.uniform(0.0, 0.2))
+            self._signal(n, self._rng.choice((signal.SIGHUP, signal.SIGTERM)))
+        kill_s = life.term_s + min(self.plan.deadline_s, LONGEST_COUNTED_S) + KILL_AFTER_S
+        with suppress(TimeoutError):
+            async with asyncio.timeout(kill_s - monotonic()):
+                await process.wait()
+        if process.returncode is None:
+            life.killed_s = monotonic()
+            self._signal(n, signal.SIGKILL)
+        life.status, life.ended_s = await process.wait(), monotonic()
+
+    async def _kill(self, n: int) -> None:
+        life = self.record.lives[n][-1]
+        life.killed_s = life.ended_s = monotonic()
+        await self.fleet.kill(n, wipe=True)
+
+    async def _move(self, n: int, half: bool) -> None:
+        self.at[n] = 1 - self.at[n]
+        place = self.fleet.home(n) / "config.json"
+        address = self.views[n][self.at[n]].address
+        text = json.dumps(json.loads(place.read_text()) | {"discovery": "{}:{}".format(*address)})
+        if half:
+            place.write_text(text[: len(text) // 2])
+        else:
+            place.with_suffix(".new").write_text(text)
+            os.replace(place.with_suffix(".new"), place)
+        self.record.moves.setdefault(n, []).append((monotonic(), self.views[n][self.at[n]].lag_s))
+        self._signal(n, signal.SIGHUP)
+        if half:
+            await asyncio.sleep(HALF_WRITTEN_S)
+            place.write_text(text)
+
+    async def _slice(self, n: int) -> None:
+        """Hold the process to its share of a core."""
+        share = self.plan.share
+        while share < 1.0:
+            self._signal(n, signal.SIGSTOP)
+            await asyncio.sleep((1 - share) * SLICE_S)
+            self._signal(n, signal.SIGCONT)
+            await asyncio.sleep(share * SLICE_S)
+
+    def _signal(self, n: int, number: signal.Signals) -> None:
+        process = self.fleet.processes.get(n)
+        if process and process.returncode is None:
+            with suppress(ProcessLookupError):
+                process.send_signal(number)
+
+
+async def play(plan: Plan, folder: Path, program: Path | None = None) -> Outcome:
+    """`program`: the checkout whose sidecar is run, this one if None."""
+    relay = Relay(plan.processes, plan.seed)
+    relay.loss = plan.loss
+    await relay.open()
+    fleet = Fleet(folder, relay)
+    fleet.program = program
+    it = Play(plan, fleet, folder)
+    try:
+        await it.run()
+        for n, process in fleet.processes.items():
+            if process.returncode is not None:
+                it.record.lives[n][-1].status = process.returncode
+    finally:
+        for n in list(fleet.processes):
+            await fleet.kill(n)
+        relay.close()
+    asked = it.record.asked.values()
+    answers = Counter(each.status for each in asked if each.end is End.ANSWERED)
+    violations = Judge(plan, it.history, it.record).violations()
+    return Outcome(plan, violations, len(asked), dict(answers), len(it.record.received))
--- a/tests/test_older_lists.py
+++ b/tests/test_older_lists.py
@@ -19,6 +19,7 @@
 from tests.fleet import Fleet, fleet
 from tests.net import OK, Discovery, Endpoint, TellingDiscovery, member, member_list, until
 from tests.observer import GRACE_S
+from tests.test_stored_list import stored
 
 SERVERS = 4
 REQUESTS = 30
@@ -88,3 +89,31 @@
         assert await here.reached() == {1, 2, 3}
         behind.say(member_list(6, here.rows[:1], complete=False))
         assert await here.reached() == {0, 1, 2, 3}
+
+
+@pytest.mark.timeout(40)
+@pytest.mark.parametrize("how", ["draining", "absent"])
+async def test_a_restart_on_the_stored_list_takes_no_list_that_is_behind_it_for_later_word(
+    tmp_path: Path, how: str
+) -> None:
+    """Killed and started again from its store, it is told a list older than that."""
+    async with scene(tmp_path, how) as here:
+        await until(lambda: stored(here.it.home(0))[0] == 5)
+        behind = await here.serve(member_list(3, here.rows))
+        await here.it.kill(0)
+        await here.it.start(0, behind.address, here.rows, revision=2)
+        await until(lambda: bool(behind.connections))
+        assert await here.reached() == {1, 2, 3}
+
+
+@pytest.mark.timeout(40)
+async def test_the_last_words_of_the_address_before_count_though_the_new_one_is_behind(
+    tmp_path: Path,
+) -> None:
+    """A watch is read for a moment after another has replaced it: what it says last may lie unread."""
+    async with scene(tmp_path, "draining") as here:
+        behind = await here.serve(member_list(4, here.rows))
+        await here.move(behind)
+        await until(lambda: "behind revision 5" in here.it.log(0))
+        here.told.say(member_list(6, [here.rows[1] | {"phase": "draining"}], complete=False))
+        assert await here.reached() == {2, 3}
