Refuse at once what lay unread for most of its time while the process stood still

Change: a request that lay unread for 0.65 of its time as the loop stood still is answered 503 where it is read (front/calls.after_wait), counted as 'refused as read too late'. Requests that wait behind others of their client are tried as before.

--- a/anisespool/front/calls.py
+++ b/anisespool/front/calls.py
@@ -4,14 +4,18 @@
 
 import hashlib
 from http import HTTPStatus
+from typing import NamedTuple
 from urllib.parse import unquote_to_bytes
 
 from anisespool import http1
 from anisespool.config import Names
 from anisespool.exchange import Call
+from anisespool.telemetry import TELEMETRY
 from shuntlead import Settings
 
 LONGEST_WAIT_MS = 3_600_000
+READ_NS = 1_000_000  # a request that waited no longer has not waited
+MOST_UNREAD = 0.65  # of a request's time
 
 
 class BadCall(ValueError):
@@ -22,6 +26,28 @@
         self.status = status
 
 
+class Arrival(NamedTuple):
+    """A request as it came; monotonic nanoseconds."""
+
+    request: http1.Request
+    came_ns: int  # when it reached this machine
+    read_ns: int  # when it was read
+    was_stalled: bool  # this process had stood still until then, or its turn of the loop took long
+
+
+def after_wait(call: Call, arrival: Arrival, now_ns: int) -> Call:
+    """The call with the time that is left of it, behind others that the client sent ahead, or unread. BadCall
+    where it lay unread for most of its time as the process stood still: it is far behind then, and to try
+    each request that is nearly over would take from all that follow the time for their answers."""
+    waited_ns = now_ns - arrival.came_ns
+    if waited_ns <= READ_NS or call.request.flow:
+        return call
+    if arrival.was_stalled and arrival.read_ns - arrival.came_ns > MOST_UNREAD * call.left_ns:
+        TELEMETRY.count("refused as read too late")
+        raise BadCall(HTTPStatus.SERVICE_UNAVAILABLE, "this sidecar is behind")
+    return call._replace(left_ns=max(0, call.left_ns - waited_ns))
+
+
 def read_call(request: http1.Request, names: Names, settings: Settings) -> Call:
     """A request in the module's terms, or BadCall."""
     if request.method not in (b"GET", b"HEAD", b"POST"):
--- a/anisespool/front/conversation.py
+++ b/anisespool/front/conversation.py
@@ -11,7 +11,7 @@
 from anisespool import http1
 from anisespool.exchange import Answer
 from anisespool.flow import Flow, read_buffer
-from anisespool.front.calls import BadCall, read_call
+from anisespool.front.calls import Arrival, BadCall, after_wait, read_call
 from anisespool.front.outlet import Outlet
 from anisespool.front.place import Front
 from anisespool.front.reading import ClientReading
@@ -19,7 +19,6 @@
 from anisespool.sockets import end_output, set_option
 
 MOST_PIPELINED = 8  # requests read ahead on one connection
-READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
 
 
@@ -31,7 +30,7 @@
         super().__init__(server.paused, server.heartbeat)
         self._server = server
         self._parser = http1.RequestParser(self._hold, self._read_on)
-        self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
+        self._queue: deque[Arrival] = deque()
         self._busy = self._closing = self._served = False
         self._turned_away = False  # there was no place for it
         self._request: http1.Request | None = None  # the present one
@@ -64,7 +63,8 @@
         now, began, in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
         self._waits.heard(now / 1e9)
         came = self._came_ns(now, nbytes)
-        self._queue.extend((request, came) for request in self._parser.feed(read_buffer[:nbytes]))
+        stalled, done = self._heartbeat.has_stalled(now), self._parser.feed(read_buffer[:nbytes])
+        self._queue.extend(Arrival(request, came, now, stalled) for request in done)
         if self._parser.partial and not began:
             self._waits.request_begins(now / 1e9, self._served)
         if self._parser.in_body and not in_body:
@@ -139,20 +139,22 @@
                 else:
                     self._continue()
                 return
-            request, came_ns = self._queue.popleft()
+            arrival = self._queue.popleft()
+            request = arrival.request
             if request.flow and request.flow.broken:
                 continue  # the parser's error is next
             if not self._waits.held and len(self._queue) <= MOST_PIPELINED:
                 self._resume_reading()
             self._busy, self._current, self._request = True, 0, request
-            self._work_on(request, came_ns)
+            self._work_on(arrival)
 
     def _continue(self) -> None:
         if self._parser.wants_continue and self._transport:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _work_on(self, request: http1.Request, came_ns: int) -> None:
+    def _work_on(self, arrival: Arrival) -> None:
+        request = arrival.request
         if request.target.partition(b"?")[0] == b"/healthz":
             self._answer(Answer(200 if self._server.sidecar.ready else 503))
             return
@@ -162,12 +164,10 @@
             return
         try:
             call = read_call(request, self._server.names, self._server.settings)
+            call = after_wait(call, arrival, time.monotonic_ns())
         except BadCall as error:
             self._answer(Answer(error.status, f"{error}\n".encode()))
             return
-        waited_ns = time.monotonic_ns() - came_ns  # behind others that the client sent ahead of it
-        if waited_ns > READ_NS and not request.flow:
-            call = call._replace(left_ns=max(0, call.left_ns - waited_ns))
         current = self._server.sidecar.take(call, self._answer_and_go_on, self.is_gone)
         if self._busy and self._request is request:
             self._current = current
--- a/tests/test_long_turns.py
+++ b/tests/test_long_turns.py
@@ -2,17 +2,70 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import time
 from pathlib import Path
 
+import pytest
+
+from anisespool.exchange import Call
+from anisespool.front.calls import Arrival, BadCall, after_wait
+from anisespool.http1 import Request
 from tests.drains import scene
-from tests.net import member_list, until
+from tests.net import member_list, read_response, until
 from tests.observer import GRACE_S
+from tests.support import MS, SECOND
 
 REQUESTS = 20
 
 
+@pytest.mark.parametrize(
+    ("unread_ms", "behind_ms", "stalled", "left_ms"),
+    [
+        (0, 0, True, 600),
+        (0, 400, True, 200),  # behind others that its client sent ahead
+        (380, 0, True, 220),
+        (400, 0, True, None),
+        (400, 0, False, 200),  # unread as too much was sent ahead
+    ],
+)
+def test_a_call_is_worth_a_try_unless_a_stop_took_most_of_its_time(
+    unread_ms: int, behind_ms: int, stalled: bool, left_ms: int | None
+) -> None:
+    call = Call(Request(b"GET", b"/look", {}, b"", True), 0, 0, 600 * MS, None, 0, False)
+    read_ns = SECOND + unread_ms * MS
+    arrival = Arrival(call.request, SECOND, read_ns, stalled)
+    now_ns = read_ns + behind_ms * MS
+    if left_ms is None:
+        with pytest.raises(BadCall) as refused:
+            after_wait(call, arrival, now_ns)
+        assert refused.value.status == 503
+    else:
+        assert after_wait(call, arrival, now_ns).left_ns == left_ms * MS
+
+
+@pytest.mark.parametrize(("left_ms", "status"), [(600, 503), (2000, 200)])
+async def test_what_lay_unread_for_most_of_its_time_in_a_stop_is_refused_at_once(
+    tmp_path: Path, left_ms: int, status: int
+) -> None:
+    """A process that is far behind answers them all in time, in place of trying each."""
+    async with scene(tmp_path) as it:
+        await until(lambda: bool(it.it.discovery.connections))
+        assert await it.call("warm") == 200
+        reader, writer = await asyncio.open_connection(*it.it.address)
+        writer.write(it.seen.call("first"))
+        assert (await read_response(reader)).status == 200
+        writer.write(it.seen.call("late", left_ms=left_ms))
+        time.sleep(0.4)  # the process stands still
+        began_s = time.monotonic()
+        assert (await read_response(reader)).status == status
+        assert time.monotonic() - began_s < 0.2
+        reached = "late" in it.seen.traces("s-0") + it.seen.traces("s-1")
+        assert reached == (status == 200)
+        writer.close()
+
+
 async def test_requests_read_after_a_stop_go_by_the_change_that_was_written_meanwhile(tmp_path: Path) -> None:
     """They wait ahead of the change, longer than the grace, and the loop comes to them first."""
     async with scene(tmp_path) as it:
