Bound what is kept of peers' words, and wait in a test for the list that it is about

Cause: a word of each peer on each server was kept while a list is old: by arithmetic 640,000 at 200 peers and 3,200 servers in an outage. Change: kept of servers that a peer has as out alone, of eight peers each. test_older_lists waits until the list behind is in use.

--- a/anisespool/withdrawals.py
+++ b/anisespool/withdrawals.py
@@ -28,6 +28,7 @@
 FOLLOW_S = 30.0  # a list is some seconds late at most, 15 with some to spare; twice that
 FOLLOW_NS = int(FOLLOW_S * 1e9)
 MOST_OUT = 16_384  # servers remembered as out, the latest to go
+MOST_WORDS = 8  # of peers on one server, the latest: more than any quorum
 
 
 Up = Callable[[], Iterable[Member]]  # the servers that the list in use has as up
@@ -142,10 +143,13 @@
         that the list in use has as up. The servers for which that changes something."""
         changes = False
         for server, is_up in standing.items():
-            words = self._words.setdefault(server, {})
-            word = PeerWord(revision, is_up)
+            if is_up and server not in self._words:
+                continue  # nobody has said otherwise, and a word for each server and peer would be many
+            words, word = self._words.setdefault(server, {}), PeerWord(revision, is_up)
             changes |= words.get(peer) != word
             words[peer] = word
+            if len(words) > MOST_WORDS:
+                del words[min(words, key=lambda each: words[each].revision)]
         return self._weigh_words(up) if changes else set()
 
     def _weigh_words(self, up: Up) -> set[str]:
--- a/tests/test_older_lists.py
+++ b/tests/test_older_lists.py
@@ -17,7 +17,7 @@
 import pytest
 
 from tests.fleet import Fleet, fleet
-from tests.net import OK, Discovery, Endpoint, TellingDiscovery, member, member_list, until
+from tests.net import OK, Endpoint, TellingDiscovery, member, member_list, until
 from tests.observer import GRACE_S
 from tests.test_stored_list import stored
 
@@ -43,13 +43,18 @@
         """Another address of discovery, which says this to each new watch."""
         return await self.stack.enter_async_context(TellingDiscovery(line).serve())
 
-    async def move(self, discovery: Discovery) -> None:
+    async def move(self, discovery: TellingDiscovery) -> None:
         path = self.it.home(0) / "config.json"
         raw = json.loads(path.read_text()) | {"discovery": "{}:{}".format(*discovery.address)}
         path.with_suffix(".new").write_text(json.dumps(raw))
         os.replace(path.with_suffix(".new"), path)
         self.it.processes[0].send_signal(signal.SIGHUP)
-        await until(lambda: bool(discovery.connections))
+        await self.taken(discovery)
+
+    async def taken(self, discovery: TellingDiscovery) -> None:
+        """Until the list that this address tells is in use, as far as it goes."""
+        place = "{}:{}".format(*discovery.address)
+        await until(lambda: f"to {discovery.line['revision']}, whole list from {place}" in self.it.log(0))
 
     async def reached(self) -> set[int]:
         """The servers that some requests go to, once the sidecar has had time to read what was told."""
@@ -102,7 +107,7 @@
         behind = await here.serve(member_list(3, here.rows))
         await here.it.kill(0)
         await here.it.start(0, behind.address, here.rows, revision=2)
-        await until(lambda: bool(behind.connections))
+        await here.taken(behind)
         assert await here.reached() == {1, 2, 3}
 
 
@@ -114,6 +119,5 @@
     async with scene(tmp_path, "draining") as here:
         behind = await here.serve(member_list(4, here.rows))
         await here.move(behind)
-        await until(lambda: "behind revision 5" in here.it.log(0))
         here.told.say(member_list(6, [here.rows[1] | {"phase": "draining"}], complete=False))
         assert await here.reached() == {2, 3}
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -133,6 +133,18 @@
     assert it.peer(2, 8, 0, 1, 2, 3) == set()  # a quorum
 
 
+def test_what_peers_say_is_kept_of_few_peers_and_of_servers_that_one_has_as_out() -> None:
+    it = Scene()
+    it.servers.list_is_old()
+    for peer in range(200):
+        it.peer(peer, 6 + peer, 0)
+    words = it.servers._withdrawals._words
+    assert {server: len(each) for server, each in words.items()} == {"s-0": withdrawals.MOST_WORDS}
+    assert it.peer(3, 300) == {0, 1, 2, 3}  # the latest word
+    assert it.tell(400, *map(row, range(4))) == {0, 1, 2, 3}
+    assert not words and not it.servers._withdrawals._words
+
+
 def test_a_peers_word_holds_until_the_list_in_use_is_as_late() -> None:
     it = Scene()
     it.servers.list_is_old()
