--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -13,6 +13,7 @@
 from anisespool import withdrawals
 from anisespool.config import Address, MemberList, Names
 from anisespool.servers import Servers
+from anisespool.state.records import Order
 from shuntlead.interface import RosterForm
 from tests.net import member, member_list
 
@@ -33,7 +34,8 @@
     """A sidecar's servers, told by discovery at revision 5 that s-0 to s-3 are up."""
 
     def __init__(self) -> None:
-        self.servers = Servers({}, 0, fleet_size=FLEET)
+        self.orders: dict[str, Order] = {}
+        self.servers = Servers(self.orders, 0, fleet_size=FLEET)
         self.tell(5, *map(row, range(4)))
 
     def tell(self, revision: int, *rows: dict[str, Any], complete: bool = True) -> set[int]:
@@ -104,6 +106,18 @@
     assert it.servers.withdraw(listed(7, row(2, "draining"), complete=False)) == []  # not later
 
 
+@pytest.mark.parametrize("is_out", [False, True])
+def test_an_operators_order_brings_back_nothing_that_is_out_by_a_later_list(is_out: bool) -> None:
+    """Called back by them, it is still what discovery has said of it."""
+    it = Scene()
+    it.tell(6, row(0, "draining"), complete=False)
+    it.orders["s-0"] = Order(is_out, 10**12)
+    assert it.tell(4, *map(row, range(4))) == {1, 2, 3}
+    it.servers.refresh(["s-0"])
+    assert it.in_use() == {1, 2, 3}
+    assert it.tell(7, row(0), complete=False) == ({1, 2, 3} if is_out else {0, 1, 2, 3})
+
+
 def test_revisions_that_begin_anew_shut_nothing_out_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
     it = Scene()
     it.tell(6, row(0, "draining"), complete=False)
