Read a configuration again that is half written or missing as the process starts

Change: where the file is not there or no JSON, it is read again for 2 s (__main__.load_once_whole, ConfigUnreadable); other faults of it end the process at once, as before.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -6,16 +6,19 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Mapping
 
 from anisespool.config import Address, Config, load
 from anisespool.discovery.watch import Move
-from anisespool.errors import ConfigError
+from anisespool.errors import ConfigError, ConfigUnreadable
 from anisespool.log import say
 from anisespool.reload import Reload
 from anisespool.service import Service
 from anisespool.supervision import supervise
 
+WHOLE_S, WHOLE_AGAIN_S = 2.0, 0.05  # for a file that is being written as the process starts
+
 
 async def run(
     config: Config,
@@ -39,9 +42,21 @@
         following.cancel()
 
 
+def load_once_whole(env: Mapping[str, str], wait_s: float = WHOLE_S) -> Config:
+    """The configuration; a file that is being replaced is read again, for `wait_s`. Raises ConfigError."""
+    until_s = time.monotonic() + wait_s
+    while True:
+        try:
+            return load(env)
+        except ConfigUnreadable:
+            if time.monotonic() >= until_s:
+                raise
+        time.sleep(WHOLE_AGAIN_S)
+
+
 def main() -> int:
     try:
-        config = load(os.environ)
+        config = load_once_whole(os.environ)
         asyncio.run(_until_signalled(config))
     except ConfigError as error:
         say("anisespool", str(error))
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from anisespool.errors import ConfigError
+from anisespool.errors import ConfigError, ConfigUnreadable
 from anisespool.listing import Address as Address
 from anisespool.listing import Member as Member
 from anisespool.listing import MemberList as MemberList
@@ -95,7 +95,7 @@
         with open(path, "rb") as file:
             raw = json.load(file)
     except (OSError, ValueError, RecursionError) as error:
-        raise ConfigError(f"LB_CONFIG: {error}") from None
+        raise ConfigUnreadable(f"LB_CONFIG: {error}") from None
     return raw if isinstance(raw, dict) else {}
 
 
--- a/anisespool/errors/__init__.py
+++ b/anisespool/errors/__init__.py
@@ -3,7 +3,7 @@
 
 from anisespool.errors.admin import AdminFault, NoStore, NotDurable, NotServing, UnknownCall, UnknownServer
 from anisespool.errors.base import Fault
-from anisespool.errors.configuration import ConfigError
+from anisespool.errors.configuration import ConfigError, ConfigUnreadable
 from anisespool.errors.discovery import (
     DiscoveryFault,
     DiscoveryRefused,
@@ -23,7 +23,7 @@
 )
 
 __all__ = [
-    "AddressTaken", "AdminFault", "ConfigError", "DiscoveryFault", "DiscoveryRefused",
+    "AddressTaken", "AdminFault", "ConfigError", "ConfigUnreadable", "DiscoveryFault", "DiscoveryRefused",
     "DiscoverySilent", "DiscoveryUnreachable", "Fault", "NoDescriptors", "NoRoomForClients", "NoStore",
     "NotDurable",
     "NotServing", "PeerAddressTaken", "PeerMessageDropped", "StoreBusy", "StoreDamaged", "StoreError",
--- a/anisespool/errors/configuration.py
+++ b/anisespool/errors/configuration.py
@@ -12,3 +12,7 @@
         "mend that variable or key and start again; "
         "after SIGHUP the old configuration stays until the file can be read"
     )
+
+
+class ConfigUnreadable(ConfigError):
+    """The file is not there, or is no JSON: it may be half written."""
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -85,6 +85,25 @@
             assert monotonic() - whole_s < 4.0 and process.returncode is None
 
 
+@pytest.mark.parametrize("half", [True, False])
+async def test_a_file_that_is_being_replaced_as_the_process_starts_is_read_once_it_is_whole(
+    tmp_path: Path, half: bool
+) -> None:
+    """Half written, or not there for a moment."""
+    async with Discovery().serve() as discovery:
+        env = write_config(tmp_path, discovery.address, [SERVER])
+        place = Path(env["LB_CONFIG"])
+        whole = place.read_bytes()
+        place.write_bytes(whole[: len(whole) // 2])
+        if not half:
+            place.unlink()
+        async with started(env) as process:
+            await asyncio.sleep(0.4)  # it has come to the file by then
+            place.write_bytes(whole)
+            await until(lambda: bool(discovery.targets))
+            assert process.returncode is None
+
+
 @pytest.mark.parametrize("signalled", [False, True])
 async def test_an_address_that_is_in_use_for_a_moment_is_asked_for_again(
     tmp_path: Path, signalled: bool
