Answer what is owed at a planned end only as connections end, and steady two tests

Change: what is owed is answered as the connections are about to be ended, not 0.1 s before. test_older_lists asks what it is about: that the server that is out gets nothing, and gets some once it is back, after the list has been read; it asks no less of the rule.

--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -174,7 +174,7 @@
 
     def _end_stages(self, shutdown: Shutdown) -> None:
         now_ns = time.monotonic_ns()
-        if now_ns >= shutdown.answer_by_ns and self.sidecar.answer_all():
+        if now_ns >= shutdown.close_by_ns and self.sidecar.answer_all():
             return  # A process that stood still gets here before the timers of these answers
         for connection in list(self.connections):
             stage = connection.stage
