Remove what the incident's change left without a caller

Cause: since peers are asked whenever no watch stands, nothing asks whether the list's deadline is near; the soak kept a folder and a lag that nobody reads. Change: CallClock.list_is_old and FreshListDeadline.is_near are gone, and in tests/soak Play.folder and the lag of a move. No behaviour changes.

--- a/anisespool/discovery/clock.py
+++ b/anisespool/discovery/clock.py
@@ -51,9 +51,6 @@
         """What the deadline leaves of a delay before a call."""
         return max(0.0, min(delay_s, self._deadline.left_s(now_s) - NEXT_CALL_S))
 
-    def list_is_old(self, now_s: float) -> bool:
-        return self._deadline.is_near(now_s)
-
     def start_delay(self, has_list: bool) -> float:
         """A release starts many at once. With no list to serve by, there is nothing to wait with."""
         return random.uniform(0.0, self._start_s) if has_list else 0.0
--- a/anisespool/discovery/deadline.py
+++ b/anisespool/discovery/deadline.py
@@ -34,10 +34,6 @@
         """Negative once it has passed."""
         return self.at_s - now_s
 
-    def is_near(self, now_s: float) -> bool:
-        """Half of its time is over. Never so on a watch in order, which brings a line every 2 s."""
-        return self.left_s(now_s) <= TOLD_S / 2
-
     def fresh(self, now_s: float) -> None:
         """A whole line has come on the watch that stands. If it is the last one, the watch has fallen silent
         by then, and what it misses counts at the deadline even where discovery cannot be reached."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -79,7 +79,7 @@
         for silent_s in self._record.silences.get(process, []):
             if silent_s >= began_s and silent_s <= had_s < silent_s + TOLD_S:
                 yield self._reachable_after(silent_s, TOLD_S), "a silent watch"
-        moves = [s for s, _ in self._record.moves.get(process, [])]
+        moves = self._record.moves.get(process, [])
         for moved_s, next_s in pairwise([*moves, float("inf")]):
             if moved_s >= began_s and had_s < moved_s + MOVED_TOLD_S <= next_s:
                 yield self._reachable_after(moved_s, MOVED_TOLD_S), "a move"
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -50,8 +50,8 @@
 
 
 class Play:
-    def __init__(self, plan: Plan, fleet: Fleet, folder: Path) -> None:
-        self.plan, self.fleet, self.folder = plan, fleet, folder
+    def __init__(self, plan: Plan, fleet: Fleet) -> None:
+        self.plan, self.fleet = plan, fleet
         self.history, self.record = History(), Record()
         self.servers = [Server(n, plan.seed, self.record) for n in range(plan.servers)]
         self.views = [
@@ -192,7 +192,7 @@
         else:
             place.with_suffix(".new").write_text(text)
             os.replace(place.with_suffix(".new"), place)
-        self.record.moves.setdefault(n, []).append((monotonic(), self.views[n][self.at[n]].lag_s))
+        self.record.moves.setdefault(n, []).append(monotonic())
         self._signal(n, signal.SIGHUP)
         if half:
             await asyncio.sleep(HALF_WRITTEN_S)
@@ -221,7 +221,7 @@
     await relay.open()
     fleet = Fleet(folder, relay)
     fleet.program = program
-    it = Play(plan, fleet, folder)
+    it = Play(plan, fleet)
     try:
         await it.run()
         for n, process in fleet.processes.items():
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -66,8 +66,7 @@
     lives: dict[int, list[Life]] = field(default_factory=dict)
     # By process: when a line that has this revision's change was written to it.
     written: dict[int, dict[int, float]] = field(default_factory=dict)
-    # By process: when a move to the other address was asked for, and how far that is behind.
-    moves: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+    moves: dict[int, list[float]] = field(default_factory=dict)  # by process: SIGHUP to the other address
     silences: dict[int, list[float]] = field(default_factory=dict)  # by process: a watch fell silent
     outages: list[tuple[float, float]] = field(default_factory=list)  # of discovery, for all processes
 
