--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -148,13 +148,13 @@
         assert self.process
         self.record.line(f"platform: {signal.Signals(number).name} to {self.name}")
         with suppress(ProcessLookupError):
-            self.process.send_signal(number)
+            os.kill(self.process.pid, number)
 
     async def end(self) -> None:
         """Kill it if it still runs, and wait for its end."""
-        if self.process:
+        if self.process and self.process.returncode is None:
             with suppress(ProcessLookupError):
-                self.process.kill()
+                os.kill(self.process.pid, signal.SIGKILL)
             await self.process.wait()
 
 
