Ignore an offer of another protocol, and let no parser exception take requests with it

Cause: `RequestParser.feed` caught HttpParserError, and httptools raises HttpParserUpgrade at such a head, which has no base in common with it. The exception left `HttpConnection.buffer_updated`, and the event loop closed the connection; requests that the same read had completed went with it. `ResponseParser.feed` had the same clause: an unasked 101 raised out of a server's connection and of discovery's stream.

Change: the head is parsed once more without its `Upgrade` fields by a new parser, which reads the body and all behind it, so that framing stays the library's. CONNECT is answered 405, and its connection closed. No exception of the parser leaves `feed`: one that is no error of syntax is logged and answered 500, behind the answers to what was read before. In an answer any of them is a broken answer.

--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections import deque
 from http import HTTPStatus
@@ -12,14 +11,13 @@
 from anisespool.body_stream import BodyStream, read_buffer
 from anisespool.exchange import Answer
 from anisespool.front.client_reader import ClientReader
-from anisespool.front.request_decoding import InvalidRequest, ReceivedRequest, decode_request, deduct_wait
+from anisespool.front.request_decoding import InvalidRequest, ReceivedRequest, decode_received
 from anisespool.front.response_writer import ResponseWriter
 from anisespool.front.server_interface import ServerInterface
 from anisespool.front.timeouts import ClientTimeouts
-from anisespool.sockets import end_output, set_option
+from anisespool.log import log_error
 
 MAX_PIPELINED_REQUESTS = 8  # queued behind the current one before reading is paused
-LINGER_TIMEOUT_S = 1.0  # for the client to read the last response before the connection is aborted
 
 
 class HttpConnection(ClientReader):
@@ -50,8 +48,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self._transport = self._writer.transport = transport
-        set_option(transport, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # asyncio sets it on outgoing only
+        self._transport = transport
+        self._writer.attach(transport)
         self._register_polls()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -163,8 +161,7 @@
             self._answer(Answer(503, b"too many connections\n", self._server.retry_after_s()))
             return
         try:
-            call = decode_request(request, self._server.names, self._server.settings)
-            call = deduct_wait(call, received, time.monotonic_ns())
+            call = decode_received(received, self._server.names, self._server.settings, time.monotonic_ns())
         except InvalidRequest as error:
             self._answer(Answer(error.status, f"{error}\n".encode()))
             return
@@ -236,6 +233,8 @@
             self._transport.close()
 
     def _reject(self, status: HTTPStatus) -> None:
+        if self._parser.failure:
+            log_error("server", self._parser.failure)
         self._close_gracefully(http1.encode_response(status, close=True))
 
     def _close_gracefully(self, data: bytes) -> None:
@@ -247,4 +246,4 @@
         if self._transport:
             self._transport.write(data)
             self._resume_reading()
-            end_output(self._transport, LINGER_TIMEOUT_S)
+            self._writer.end_output()
--- a/anisespool/front/request_decoding.py
+++ b/anisespool/front/request_decoding.py
@@ -35,6 +35,12 @@
     was_stalled: bool  # read after a stall of the process, or late in a long turn of the event loop
 
 
+def decode_received(received: ReceivedRequest, names: NameIndex, settings: Settings, now_ns: int) -> Call:
+    """The call that a received request makes, with the time that is left to it now (monotonic nanoseconds).
+    Raises InvalidRequest."""
+    return deduct_wait(decode_request(received.request, names, settings), received, now_ns)
+
+
 def deduct_wait(call: Call, received: ReceivedRequest, now_ns: int) -> Call:
     """The call, with its remaining time reduced by the time it waited unread or behind pipelined requests.
 
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -9,9 +9,10 @@
 
 from anisespool import http1
 from anisespool.body_stream import BodyStream
-from anisespool.sockets import set_option
+from anisespool.sockets import end_output, set_option
 
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # buffered for one client before its source is paused
+LINGER_TIMEOUT_S = 1.0  # for the client to read the last response before the connection is aborted
 SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF; a larger one would only hide how slowly the client reads
 
 
@@ -28,6 +29,11 @@
         self._body_stream: BodyStream | None = None  # the rest of the current response
         self._chunked = False
 
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Write to this connection, whose small writes the kernel must not hold back."""
+        self.transport = transport
+        set_option(transport, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # asyncio sets it on outgoing only
+
     @property
     def is_streaming(self) -> bool:
         return self._body_stream is not None
@@ -84,6 +90,12 @@
         if body_stream:
             body_stream.discard()
 
+    def end_output(self) -> None:
+        """Shut down the sending side behind what has been written, and abort the connection once the client
+        has had time to read it."""
+        if self.transport:
+            end_output(self.transport, LINGER_TIMEOUT_S)
+
     def reset(self) -> None:
         """Reset the connection (RST). The client would take an orderly close for the end of a body that has
         no declared length."""
--- a/anisespool/http1/messages.py
+++ b/anisespool/http1/messages.py
@@ -49,14 +49,20 @@
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
+        self.repeated_headers: list[tuple[bytes, bytes]] = []  # further fields of a name in `headers`
         self.body: list[bytes] = []
         self.head_bytes = self.body_bytes = 0
         self.head_complete = False  # later headers are trailers: only their size counts
 
     def add_header(self, name: bytes, value: bytes) -> None:
         self.head_bytes += len(name) + len(value)
-        if self.head_bytes <= MAX_HEAD_BYTES and not self.head_complete:
-            self.headers.setdefault(name.lower(), value.strip(b" \t"))  # httptools keeps trailing blanks
+        if self.head_bytes > MAX_HEAD_BYTES or self.head_complete:
+            return
+        name, value = name.lower(), value.strip(b" \t")  # httptools keeps trailing blanks
+        if name in self.headers:
+            self.repeated_headers.append((name, value))
+        else:
+            self.headers[name] = value
 
     def length(self) -> int | None:
         """The declared Content-Length, or None."""
--- a/anisespool/http1/request_parser.py
+++ b/anisespool/http1/request_parser.py
@@ -23,13 +23,18 @@
 class RequestParser:
     """An incremental parser. It yields complete requests, and requests with a `body_stream` where the body is
     too long to buffer. Once `error` (the status to respond with) is set, nothing more can be parsed from the
-    connection."""
+    connection.
+
+    An offer to change to another protocol (`Upgrade`) is ignored, as RFC 9110, 7.8 allows: the request is
+    served as HTTP/1.1. CONNECT is rejected, as what follows it on the connection would not be HTTP.
+    """
 
     def __init__(
         self, pause: Callable[[], None] = lambda: None, resume: Callable[[], None] = lambda: None
     ) -> None:
         """`pause` and `resume` control reading from the client, when the sink of a body is too slow."""
         self.error = 0
+        self.failure: BaseException | None = None  # a fault of this program that set `error`
         self.wants_continue = False
         self.body_bytes = 0  # received of the current request's body
         self._pause, self._resume = pause, resume
@@ -48,17 +53,57 @@
         return self._started and self._message.head_complete
 
     def feed(self, data: bytes | memoryview) -> list[Request]:
-        """The requests that these bytes complete, including those that precede a syntax error."""
-        if not self.error:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserError:  # also raised for an upgrade, as none is supported
-                self.error = self.error or HTTPStatus.BAD_REQUEST
+        """The requests that these bytes complete, including those that precede an error."""
+        unparsed = memoryview(data)
+        while unparsed and not self.error:
+            unparsed = unparsed[self._parse(unparsed) :]
         if self.error and self._body_stream:
             self._body_stream.fail()
         completed, self._completed = self._completed, []
         return completed
 
+    def _parse(self, data: bytes | memoryview) -> int:
+        """Parse bytes, and return how many were parsed: fewer than all if a head in them offers an upgrade.
+        No exception is raised, as it would take the requests before it on this connection with it."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade()
+            return int(upgrade.args[0])
+        except httptools.HttpParserCallbackError as error:
+            self._fail(error)
+        except httptools.HttpParserError:
+            self.error = self.error or HTTPStatus.BAD_REQUEST
+        except Exception as error:
+            self._fail(error)
+        return len(data)
+
+    def _fail(self, error: Exception) -> None:
+        """Neither the bytes nor the client are at fault. A callback's exception is the context of `error`."""
+        self.error = self.error or HTTPStatus.INTERNAL_SERVER_ERROR
+        self.failure = error.__context__ or error
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the same head once more without its offer: httptools has skipped the body that it announces.
+        CONNECT counts as an upgrade too."""
+        if self._parser.get_method() == b"CONNECT":
+            self.error = self.error or HTTPStatus.METHOD_NOT_ALLOWED
+        if self.error:
+            return
+        head = self._head_without_upgrade()
+        self._parser = httptools.HttpRequestParser(self)
+        self._parse(head)
+
+    def _head_without_upgrade(self) -> bytes:
+        request_line = b"%b %b HTTP/%b" % (
+            self._parser.get_method(),
+            self._target,
+            self._parser.get_http_version().encode(),
+        )
+        headers = [*self._message.headers.items(), *self._message.repeated_headers]
+        lines = [request_line, *(b"%b: %b" % header for header in headers if header[0] != b"upgrade")]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def close(self) -> None:
         """No more bytes will be fed."""
         del self._parser
@@ -83,6 +128,8 @@
             self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
     def on_headers_complete(self) -> None:
+        if self._parser.should_upgrade():
+            return  # the head is parsed again, see _ignore_upgrade
         self._message.head_complete = True
         length = self._message.length() or 0
         if length > MAX_STREAMED_BODY_BYTES:
@@ -125,6 +172,8 @@
         )
 
     def on_message_complete(self) -> None:
+        if self._parser.should_upgrade():
+            return
         self._started = self.wants_continue = False
         body_stream, self._body_stream = self._body_stream, None
         if self.error:
--- a/anisespool/http1/response_parser.py
+++ b/anisespool/http1/response_parser.py
@@ -36,10 +36,11 @@
         self._message = PartialMessage()
 
     def feed(self, data: bytes | memoryview) -> Response | None:
-        """Parse more bytes; returns the response once it is complete."""
+        """Parse more bytes; returns the response once it is complete. Whatever exception the parser raises,
+        the response is broken; a change to another protocol (101), which nobody has asked for, is one."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except Exception:
             self.broken = self.broken or self.response is None
         if self.broken and self.body_stream:
             self.body_stream.fail()
