Keep a client connection in the server's set until its socket is closed

Cause: `ClientConnection.evict` took the connection out of `Server.connections`, and then called `close_if_idle`, which does nothing while a response is unsent. What is not in the set is neither counted nor timed, and `Server.stop` does not wait for it. The branch for half a request closed the transport, which waits for its client where the kernel takes no more: the same.

`evict` aborts in every case, so that the socket closes in the next turn of the loop whatever is unsent. That leaves two ways out of the set: with the socket, and this one.

--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -51,35 +51,31 @@
     @property
     def is_evictable(self) -> bool:
         """Whether it may be closed to free its descriptor: no request is in progress, queued or being
-        received, and the client is not reading a response."""
-        now = monotonic()
-        is_reading_answer = self._writer.unsent_bytes and self._timeouts.is_reading(now)
-        is_receiving = self._parser.partial and not self._closing and self._timeouts.is_receiving(now)
-        return not (self._busy or self._queue or is_reading_answer or is_receiving)
+        received, and the kernel has all that the client is owed. Closing with a response unsent would lose
+        it; a client that does not read is ended by its timeout."""
+        is_receiving = self._parser.partial and not self._closing and self._timeouts.is_receiving(monotonic())
+        return not (self._busy or self._queue or self._writer.unsent_bytes or is_receiving)
 
     def idle_score(self, now: float) -> float:
-        """Eviction priority, see `ClientTimeouts.idle_score`. Connections that are closing, or whose client
-        reads too slowly, come first."""
-        is_unresponsive = self._closing or self._writer.client_stalled
+        """Eviction priority, see `ClientTimeouts.idle_score`. Connections that are closing come first."""
         return (
-            inf if is_unresponsive else self._timeouts.idle_score(now, self._parser.partial, self._has_served)
+            inf if self._closing else self._timeouts.idle_score(now, self._parser.partial, self._has_served)
         )
 
     def evict(self) -> bool:
-        """Close the connection at once to free its descriptor, without waiting for the client to close its
-        side. Returns whether it is closed: not if a request has just arrived."""
+        """Close the connection to free its descriptor, without waiting for the client to close its side.
+        Returns whether it is closed: not if a request has just arrived.
+
+        It leaves the server's set at once, so as not to be chosen again. That is safe only because `abort`
+        waits for nothing: the event loop closes the socket in its next iteration, whatever is unsent.
+        """
         if not self._transport or not self._closing and self.has_unread():
             return False
-        self._registry.connections.discard(self)  # otherwise it could be chosen again before it is closed
         if self._parser.partial and not self._closing:
             self._transport.write(http1.encode_response(HTTPStatus.REQUEST_TIMEOUT, close=True))
-            self._closing = True
-            self._transport.close()
-        elif self._closing or self._writer.client_stalled:
-            self._closing = True
-            self._transport.abort()
-        else:
-            self.close_if_idle()
+        self._closing = True
+        self._transport.abort()
+        self._registry.connections.discard(self)
         return True
 
     def end_request_wait(self) -> None:
--- a/anisespool/front/timeouts.py
+++ b/anisespool/front/timeouts.py
@@ -68,9 +68,6 @@
         """The client has read none of its response for too long."""
         return now > self._last_drained_at + READ_STALL_TIMEOUT_S
 
-    def is_reading(self, now: float) -> bool:
-        return now < self._last_drained_at + REQUEST_TIMEOUT_S
-
     def is_request_late(self, now: float) -> bool:
         return now > self.waiting_since + REQUEST_TIMEOUT_S
 
