Time a closing connection by what is unsent now, not by the last look

Cause: `enforce_timeouts` passed over a closing transport unless an earlier look had seen bytes unsent. A client that asked with `Connection: close` and reads nothing has its answer written and its transport closed in one turn, so no look ever saw any: it was never ended, and kept its descriptor.

Change: the unsent bytes are asked for in the same look.

Measured: the way timed_out_reading_its_last_answer of tests/test_connection_set.py never ended on the code before; it passes now.

--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -101,9 +101,10 @@
 
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if its client has taken too long to send a request or to read a response."""
-        if not self._transport or self._transport.is_closing() and not self._timeouts.unsent_bytes:
+        unsent_bytes = self._writer.unsent_bytes
+        if not self._transport or self._transport.is_closing() and not unsent_bytes:
             return
-        self._timeouts.record_unsent(self._writer.unsent_bytes, now)
+        self._timeouts.record_unsent(unsent_bytes, now)
         if self._timeouts.is_read_stalled(now):
             self._closing = True
             self._transport.abort()
--- a/tests/test_connection_set.py
+++ b/tests/test_connection_set.py
@@ -126,6 +126,13 @@
     await it.enforce_read_timeout()
 
 
+async def timed_out_reading_its_last_answer(it: Scenario) -> None:
+    """The transport is already closing, and waits for the client to read."""
+    await it.connect_slow_reader("Connection: close\r\n")
+    await it.check()
+    await it.enforce_read_timeout()
+
+
 async def ended_by_the_shutdown(it: Scenario) -> None:
     await it.connect()
     await it.connect(HALF)
@@ -147,7 +154,7 @@
     rejected_and_left_open, evicted_silent, evicted_between_requests, evicted_half_written,
     evicted_half_written_with_full_buffers, evicted_while_closing, evicted_by_a_newcomer,
     evicted_by_a_lower_limit, timed_out_silent, timed_out_half_written, timed_out_reading,
-    ended_by_the_shutdown, broken_in_a_long_answer,
+    timed_out_reading_its_last_answer, ended_by_the_shutdown, broken_in_a_long_answer,
 ]  # fmt: skip
 
 
