Let a client read its answers to the end before a rejection ends its connection

Cause: 1 s after a rejection, or after an answer given before the end of its request's body, the connection was aborted, whether or not all had been sent by then. A client that reads slowly lost the rest of the answer to the request before it.

Change: the second begins once nothing is unsent. A client that reads nothing is ended by its read timeout. `end_output` no longer sets a timer, as its two callers need different ones.

--- a/anisespool/admin.py
+++ b/anisespool/admin.py
@@ -83,7 +83,8 @@
         if self._transport and not self._transport.is_closing():
             self._is_answered = True
             self._transport.write(text.encode() + b"\n")
-            self._timer = end_output(self._transport, LINGER_S)
+            end_output(self._transport)
+            self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
     def abort(self) -> None:
         if self._transport:
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -92,9 +92,21 @@
 
     def end_output(self) -> None:
         """Shut down the sending side behind what has been written, and abort the connection once the client
-        has had time to read it."""
+        has had LINGER_TIMEOUT_S to read the end of it."""
         if self.transport:
-            end_output(self.transport, LINGER_TIMEOUT_S)
+            end_output(self.transport)
+            self._linger()
+
+    def _linger(self) -> None:
+        """Responses that are still unsent are not cut off: a client that does not read them has a timeout of
+        its own."""
+        asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._end_linger)
+
+    def _end_linger(self) -> None:
+        if self.unsent_bytes:
+            self._linger()
+        elif self.transport:
+            self.transport.abort()
 
     def reset(self) -> None:
         """Reset the connection (RST). The client would take an orderly close for the end of a body that has
--- a/anisespool/sockets.py
+++ b/anisespool/sockets.py
@@ -9,14 +9,13 @@
 from anisespool.log import log_error
 
 
-def end_output(transport: asyncio.WriteTransport, linger_s: float) -> asyncio.TimerHandle:
-    """Shut down the output after the data already written, and abort after `linger_s`. shutdown(2) fails with
-    ENOTCONN if a reset has arrived but was not read yet; the connection is then aborted at once."""
+def end_output(transport: asyncio.WriteTransport) -> None:
+    """Shut down the output after the data already written. shutdown(2) fails with ENOTCONN if a reset has
+    arrived but was not read yet; the connection is then aborted at once."""
     try:
         transport.write_eof()
     except OSError:
         transport.abort()
-    return asyncio.get_running_loop().call_later(linger_s, transport.abort)
 
 
 def set_option(transport: asyncio.BaseTransport, level: int, option: int, value: int | bytes) -> None:
--- a/tests/test_connection_set.py
+++ b/tests/test_connection_set.py
@@ -192,3 +192,20 @@
         assert not it.sidecar.task.done()
         release.set()
         assert (await read_response(reader)).status == 200
+
+
+async def test_a_rejection_does_not_cut_off_the_answer_before_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The time to read the rejection ran while the client still read the answer to its request before."""
+    monkeypatch.setattr(response_writer, "LINGER_TIMEOUT_S", 0.05)
+    async with scenario(tmp_path, monkeypatch) as it:
+        reader, writer = await it.connect_slow_reader()
+        writer.write(b"\x00\r\n\r\n")
+        await it.wait_for_stage(Stage.CLOSING)
+        await asyncio.sleep(4 * response_writer.LINGER_TIMEOUT_S)
+        await it.check()
+        received = await reader.read()
+        assert BODY in received and b"HTTP/1.1 400" in received
+        await until(lambda: not it.server.connections)
+        await it.check()
