Rest a connection before reuse also at the limit and without descriptors

Cause: `Endpoints.send` took a connection without its rest of 30 ms once the limit was reached, `Endpoints._connect` while the machine had no descriptor left.

Change: the rest holds always. At the limit the connection that is idle for longest makes room, as where the server has none idle; without descriptors an attempt waits for a resting connection of its server and does not close it. Not taken: to wait for the rest at the limit too, as a connection that is needed there within 30 ms is most often another server's.

--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -120,7 +120,7 @@
         attempt.counts = pool.counts
         pool.counts["sends"] += 1
         is_full = len(self.connections) + self._opening >= self._max_connections
-        if connection := pool.acquire(time.monotonic() - (0.0 if is_full else REUSE_DELAY_S)):
+        if connection := pool.acquire(time.monotonic() - REUSE_DELAY_S):
             self._start(connection, pool, attempt)
             return
         if is_full and not self._evict():
@@ -158,8 +158,8 @@
 
     async def _connect(self, pool: Pool, attempt: Attempt) -> PooledConnection:
         """Opens a connection for this attempt; raises OSError on failure or after the connect timeout. While
-        this host has no descriptor, port or buffer left, it retries, or takes an idle connection regardless
-        of REUSE_DELAY_S."""
+        this host has no descriptor, port or buffer left, it retries, or takes a connection that has been idle
+        for REUSE_DELAY_S meanwhile."""
         loop = asyncio.get_running_loop()
         shortage: OSError | None = None
         try:
@@ -175,9 +175,10 @@
                             shortage = None
                             raise
                         shortage = error
-                    if idle := pool.acquire(time.monotonic()):
+                    if idle := pool.acquire(time.monotonic() - REUSE_DELAY_S):
                         return idle
-                    self._handle_shortage(shortage)
+                    if not pool.idle:  # otherwise one of them can be used soon
+                        self._handle_shortage(shortage)
                     await asyncio.sleep(SHORTAGE_PAUSE_S)
         except TimeoutError:
             if shortage is None:
--- a/anisespool/endpoints/pool.py
+++ b/anisespool/endpoints/pool.py
@@ -41,7 +41,7 @@
         """Takes the most recently used connection that is usable and has been idle since `idle_before` or
         longer (monotonic seconds). A faulty endpoint may send a second response some milliseconds after the
         first. On a connection reused at once it would pass for the response to the next request; on an idle
-        one it closes the connection."""
+        one it closes the connection. No shortage of connections is a reason to wait for less."""
         for n in range(len(self.idle) - 1, -1, -1):
             if self.idle[n].idle_since <= idle_before:
                 connection = self.idle.pop(n)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import signal
 import socket
 from contextlib import suppress
@@ -30,6 +31,7 @@
 )
 from tests.planned_end import immediate_shutdown
 from tests.support import SECOND
+from tests.syscalls import FailingCall, connects_to
 from tests.test_driver import scripted, send_once
 from tests.test_gone import DelayedAccept
 from tests.test_program import NOWHERE, start
@@ -144,10 +146,12 @@
         half.close()
 
 
+@pytest.mark.parametrize("shortage", ["none", "at the limit", "no descriptor"])
 async def test_a_late_second_answer_is_not_the_answer_to_the_next_request(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, shortage: str
 ) -> None:
-    """It arrives on the first request's connection just after the next request has arrived."""
+    """It arrives on the first request's connection just after the next request has arrived. review/1: at the
+    limit of connections to servers, and without descriptors, that connection carried the next request."""
     assert pool.REUSE_DELAY_S >= 0.03  # covers a duplicate response 30 ms late; longer below
     monkeypatch.setattr(endpoints, "REUSE_DELAY_S", WAIT_TIMEOUT_S)
     stray = OK.replace(b"ok", b"no")
@@ -164,7 +168,11 @@
 
     async with Endpoint(respond).serve() as endpoint, harness(tmp_path, endpoint) as it:
         reader, writer = await asyncio.open_connection(*it.address)
+        if shortage == "at the limit":
+            it.service._endpoints.limit(1)
         for n in range(20):
+            if shortage == "no descriptor":
+                FailingCall(monkeypatch, "connect", errno.EMFILE, 1, connects_to(endpoint.address))
             writer.write(raw_call("once", f"t{n}"))
             assert (await read_response(reader)).body == b"ok"
         await until(lambda: it.service.connections == 0)
