Let the soak's client see a reset behind an orderly end

Change: at the end of its input the client asks the kernel whether the connection has been reset (TCP_INFO). The checker is as it was, and a request that was read before the connection was closed is lost as ever: nothing resets that connection. Both are tested on sockets.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic
@@ -17,6 +18,13 @@
 CLASSES = ("look", "look", "keyed", "once")
 CLIENT_TIMEOUT_SLACK_S = 1.0  # after a request's deadline
 RECONNECT_S = 0.05  # between connection attempts
+TCP_CLOSE = 7  # in struct tcp_info, the state of a connection that was reset
+
+
+def is_reset(client: socket.socket) -> bool:
+    """Whether a reset has arrived, also behind an orderly end of the input: the other side had closed the
+    connection before it read the last bytes written to it."""
+    return client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE
 
 
 class Client:
@@ -58,6 +66,8 @@
                 else 0.0
             )
             await self._answer(request, reader, abandon_after_s)
+            if request.end is End.CLOSED and not writer.is_closing():
+                request.was_reset = request.was_reset or is_reset(writer.get_extra_info("socket"))
             if request.end is not End.ANSWERED:
                 return
             is_first_on_connection = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import socket
 from pathlib import Path
 
 import pytest
 
+from tests.soak.clients import is_reset
 from tests.soak.discovery import History
 from tests.soak.plan import GRACE_S, draw_plan
 from tests.soak.record import ClientRequest, End, ProcessRun, Received, Record
@@ -99,6 +101,35 @@
     assert scenario.violations() == []
 
 
+@pytest.mark.parametrize("is_read", [False, True])
+def test_client_tells_a_request_that_crossed_the_closing_from_one_that_was_read(is_read: bool) -> None:
+    """Both end in an orderly way. The first was written to a closed connection, which resets it; seed 24 was
+    reported as lost for one."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()) as client,
+    ):
+        accepted, _ = listener.accept()
+        if not is_read:
+            accepted.close()
+        client.sendall(b"request")
+        if is_read:
+            assert accepted.recv(100) == b"request"
+            accepted.close()
+        assert client.recv(100) == b""
+        assert is_reset(client) is not is_read
+
+
+def test_checker_excuses_an_unread_first_request_only_if_its_connection_was_reset() -> None:
+    scenario = Scenario()
+    crossed = scenario.client_request("crossed", 2.0, End.CLOSED, after_s=0.01)
+    assert scenario.violations() == ["lost"]
+    crossed.was_reset = True
+    assert scenario.violations() == []
+    scenario.server_received("crossed", 2.0)
+    assert scenario.violations() == ["lost"]
+
+
 def test_checker_reports_duplicate_runs_unless_the_server_rejected_the_request() -> None:
     scenario = Scenario()
     scenario.client_request("twice", 2.0, End.ANSWERED, cls="once")
