--- a/anisespool/front/client_reader.py
+++ b/anisespool/front/client_reader.py
@@ -12,7 +12,6 @@
 from typing import Protocol
 
 from anisespool.front.arrival_times import ArrivalTimes
-from anisespool.front.stall_detector import StallDetector
 from anisespool.socket_state import has_events, since_data_ms, unread_bytes
 
 DISCONNECT_POLL_INTERVAL_S = 0.04  # no attempt may start more than 0.1 s after its client has disconnected
@@ -57,9 +56,8 @@
 class ClientReader(asyncio.BufferedProtocol):
     """The base class of client connections: reads, and knows whether the client is still connected."""
 
-    def __init__(self, paused_connections: PausedConnections, stall_detector: StallDetector) -> None:
-        self._paused_connections, self._stall_detector = paused_connections, stall_detector
-        self._is_new = True  # nothing has been read yet
+    def __init__(self, paused_connections: PausedConnections) -> None:
+        self._paused_connections = paused_connections
         self._transport: asyncio.Transport | None = None
         self._hangup_poll, self._unread_poll = select.poll(), select.poll()
         self._arrival_times = ArrivalTimes()
@@ -94,14 +92,10 @@
 
         A client's deadline runs while its request waits unread: behind pipelined requests, during a stall of
         this process, or before the connection was accepted. If such a request counted as new, its endpoint
-        would be told more time than is left. The kernel is asked only where such a wait is possible, as that
-        costs a system call.
+        would be told more time than is left.
         """
         assert self._transport
-        waited_ms = 0
-        if self._is_new or self._stall_detector.is_stalled(now_ns):
-            waited_ms = since_data_ms(self._transport.get_extra_info("socket"))
-        self._is_new = False
+        waited_ms = since_data_ms(self._transport.get_extra_info("socket"))
         return self._arrival_times.record_read(nbytes, now_ns, now_ns - waited_ms * 1_000_000)
 
     def is_gone(self) -> bool:
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -25,7 +25,7 @@
     disconnect, except while too many requests are queued or the endpoint of a streamed body is too slow."""
 
     def __init__(self, server: ServerInterface) -> None:
-        super().__init__(server.paused_connections, server.stall_detector)
+        super().__init__(server.paused_connections)
         self._server = server
         self._parser = http1.RequestParser(self._pause_upload, self._resume_upload)
         self._queue: deque[ReceivedRequest] = deque()
@@ -61,7 +61,8 @@
         now_ns, was_partial, was_in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
         self._timeouts.data_received(now_ns / 1e9)
         arrived_ns = self._arrival_ns(now_ns, nbytes)
-        stalled, done = self._stall_detector.is_stalled(now_ns), self._parser.feed(read_buffer[:nbytes])
+        stalled = self._server.stall_detector.is_stalled(now_ns)
+        done = self._parser.feed(read_buffer[:nbytes])
         self._queue.extend(ReceivedRequest(request, arrived_ns, now_ns, stalled) for request in done)
         if self._parser.partial and not was_partial:
             self._timeouts.request_started(now_ns / 1e9, self._has_served)
--- a/anisespool/front/stall_detector.py
+++ b/anisespool/front/stall_detector.py
@@ -1,4 +1,5 @@
-"""Detects that the event loop has recently stalled, so that data read now may have waited unread for long."""
+"""Detects that the event loop has recently stalled, so that a process far behind can refuse what waited
+unread for most of its time (`request_decoding.deduct_wait`)."""
 
 from __future__ import annotations
 
@@ -6,9 +7,7 @@
 import time
 
 TICK_INTERVAL_S = 0.08
-# Since the last tick. A shorter stall stays within the permitted error of the time left that endpoints
-# are told.
-STALL_THRESHOLD_NS = 100_000_000
+STALL_THRESHOLD_NS = 100_000_000  # since the last tick
 
 
 class StallDetector:
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from anisespool.front.stall_detector import StallDetector
 from anisespool.sidecar import Sidecar
 from shuntlead import interface as api
 from tests.drain_scenario import FULL, drain_scenario
@@ -109,11 +110,15 @@
         assert answers.count(b"HTTP/1.1 200") == len(it.observer.receipts) == COUNT
 
 
+@pytest.mark.parametrize("detected", [False, True])
 @pytest.mark.parametrize("kept", [False, True])
 async def test_request_received_during_a_stall_announces_the_remaining_time(
-    tmp_path: Path, kept: bool
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kept: bool, detected: bool
 ) -> None:
-    """The request is unread on a keep-alive connection or on one that is not accepted yet."""
+    """The request is unread on a keep-alive connection or on one that is not accepted yet. Its wait counts
+    whether or not the stall was long enough to be detected."""
+    if not detected:
+        monkeypatch.setattr(StallDetector, "is_stalled", lambda self, now_ns: False)
     loop = asyncio.get_running_loop()
     async with drain_scenario(tmp_path, request_classes=[dict(LONG_DEADLINE) for _ in range(3)]) as it:
         await it.send_update(it.row(1, "draining"))
