Let answers go on in a planned shutdown for as long as their bytes move

Cause: the shutdown's schedule gave streamed answers the longest deadline and 1 s, and buffered ones until 0.1 s after the last answer was due; then their connections were reset or aborted, whether or not bytes moved. Requests queued behind answers that a client had yet to read were dropped with them, and half-written requests were cut off at 1.5 s. Change: a response that has begun is no part of the schedule. It ends with its last byte, or by the timeout of a client that does not read and of a server that does not give. Requests queued behind it are refused. A half-written request has until the last answers are due.

--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -42,6 +42,13 @@
             return Stage.HALF_WRITTEN
         return Stage.BETWEEN_REQUESTS if self._has_served else Stage.SILENT
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether all that is left to do is to send a response that has begun. It ends with its last byte, or
+        when no byte of it has moved for too long."""
+        is_answered = self._closing or not (self._busy or self._queue)
+        return self._writer.is_streaming or is_answered and self._writer.undelivered_bytes > 0
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress, queued or unread."""
         if self.is_idle and self._transport and not self.has_unread():
@@ -88,10 +95,9 @@
             self.close_if_idle()
 
     def end_stage(self, stage: Stage) -> None:
-        """The shutdown schedule leaves no more time for this stage. All requests that were read are answered
-        by now, so any unsent bytes belong to a client that does not read."""
-        if stage is Stage.ANSWERING_AT_LENGTH:
-            self._writer.reset()
+        """The shutdown schedule leaves no more time for this stage."""
+        if stage is Stage.BUSY and not self._busy:
+            self._refuse_queue()
         elif stage in (Stage.BUSY, Stage.CLOSING):
             self._closing = True
             if self._transport:
@@ -99,12 +105,17 @@
         else:
             self.end_request_wait()
 
+    def _refuse_queue(self) -> None:
+        """Refuse the queued requests, which wait behind responses that the client has not read yet."""
+        refusals = http1.encode_response(HTTPStatus.SERVICE_UNAVAILABLE) * (len(self._queue) - 1)
+        self._queue.clear()
+        self._close_gracefully(refusals + http1.encode_response(HTTPStatus.SERVICE_UNAVAILABLE, close=True))
+
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if its client has taken too long to send a request or to read a response."""
-        unsent_bytes = self._writer.unsent_bytes
-        if not self._transport or self._transport.is_closing() and not unsent_bytes:
+        if not self._transport or self._transport.is_closing() and not self._writer.unsent_bytes:
             return
-        self._timeouts.record_unsent(unsent_bytes, now)
+        self._timeouts.record_unsent(self._writer.undelivered_bytes, now)
         if self._timeouts.is_read_stalled(now):
             self._closing = True
             self._transport.abort()
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -9,6 +9,7 @@
 
 from anisespool import http1
 from anisespool.body_stream import BodyStream
+from anisespool.socket_state import unacknowledged_bytes
 from anisespool.sockets import end_output, set_option
 
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # buffered for one client before its source is paused
@@ -43,6 +44,14 @@
         """Response bytes not yet handed to the kernel, which would be lost if this process exited."""
         return self.transport.get_write_buffer_size() if self.transport else 0
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Response bytes that the client's machine has not acknowledged, in this process or in the kernel."""
+        unsent_bytes = self.unsent_bytes
+        if not self.transport or self.transport.is_closing() and not unsent_bytes:
+            return 0
+        return unsent_bytes + unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
+
     def pause(self) -> None:
         """Pause the source of the response. Otherwise a client that keeps sending requests without reading
         the responses would exhaust memory."""
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -179,7 +179,8 @@
 
     async def stop(self, shutdown: Shutdown) -> None:
         """Run the shutdown: keep accepting for a while, and close each connection as its stage's time runs
-        out. Every request read meanwhile is answered, as the driver limits deadlines by the same schedule."""
+        out. Every request read meanwhile is answered, as the driver limits deadlines by the same schedule.
+        Responses go on until their last byte, for as long as their bytes move."""
         self._shutdown = shutdown
         if self._shares_listener:  # the other process accepts what is in its queue
             self._close_listener()
@@ -190,18 +191,27 @@
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
         await self._drain_accept_queue(shutdown)
         self._close_listener()
-        while (self.connections or self._accept_tasks) and time.monotonic_ns() < shutdown.ends_by_ns:
+        while self._has_work(shutdown):
             self._end_overdue_stages(shutdown)
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
 
+    def _has_work(self, shutdown: Shutdown) -> bool:
+        """Whether the shutdown has to wait for a connection. Past the schedule's end this is so only for
+        responses that have begun."""
+        if time.monotonic_ns() < shutdown.ends_by_ns:
+            return bool(self.connections or self._accept_tasks)
+        return any(connection.is_sending for connection in self.connections)
+
     def _end_overdue_stages(self, shutdown: Shutdown) -> None:
         now_ns = time.monotonic_ns()
         if now_ns >= shutdown.close_by_ns and self.sidecar.answer_pending():
             return  # after a stall of the process, this runs before the timers that answer requests
         for connection in list(self.connections):
+            if connection.is_sending:
+                continue
             stage = connection.stage
             if now_ns >= shutdown.stage_deadline_ns(stage):
-                if stage in (Stage.BUSY, Stage.ANSWERING_AT_LENGTH):
+                if stage is Stage.BUSY:
                     log_error("server", NoRoomForClients(f"closed a connection at shutdown in stage {stage}"))
                 connection.end_stage(stage)
 
--- a/anisespool/front/shutdown.py
+++ b/anisespool/front/shutdown.py
@@ -1,8 +1,9 @@
 """The schedule of a planned shutdown: how long client connections stay, and when the last response is due.
 
 The platform sends SIGTERM and, no sooner than KILL_GRACE_NS after the longest deadline, SIGKILL. A request
-that arrived late and is unanswered by then is lost. The schedule is fixed at SIGTERM and bounds everything:
-the driver limits all deadlines to `answer_by_ns`, and the server closes connections at `stage_deadline_ns`.
+that arrived late and is unanswered by then is lost. The schedule is fixed at SIGTERM: the driver limits all
+deadlines to `answer_by_ns`, and the server closes connections at `stage_deadline_ns`. Responses that have
+begun are not part of it: SIGKILL may come much later, so each goes on for as long as its bytes move.
 
 All times are nanoseconds of the monotonic clock. This module does no I/O.
 """
@@ -19,9 +20,7 @@
 ACCEPT_PERIOD_NS = 500_000_000  # new connections keep arriving for up to 0.4 s after SIGTERM
 ACCEPT_QUEUE_DRAIN_NS = 100_000_000  # after that, to accept what is left in the accept queue
 FIRST_REQUEST_TIMEOUT_NS = 100_000_000  # on the connections that were accepted last
-PARTIAL_REQUEST_TIMEOUT_NS = 1_500_000_000  # after SIGTERM, to receive the rest of a request
 CLOSE_PERIOD_NS = 100_000_000  # after the last response, to flush and close connections
-STREAM_GRACE_NS = 1_000_000_000  # after the longest deadline, for streamed responses, if no SIGKILL arrives
 
 
 class Stage(StrEnum):
@@ -47,22 +46,21 @@
         self.accept_until_ns = min(started_ns + ACCEPT_PERIOD_NS, self.answer_by_ns)
         self.queue_until_ns = self.accept_until_ns + ACCEPT_QUEUE_DRAIN_NS
         self.close_by_ns = self.answer_by_ns + CLOSE_PERIOD_NS
-        streams_until_ns = max(self.close_by_ns, started_ns + longest_deadline_ns + STREAM_GRACE_NS)
+        self.ends_by_ns = (
+            self.close_by_ns + CLOSE_PERIOD_NS
+        )  # then only responses that have begun are waited for
         # Clients of an unshared listener can still reach this process on a new connection, so idle ones are
         # closed at once. With a shared listener, idle connections stay for one more request.
         idle_until_ns = self.accept_until_ns if is_listener_shared else started_ns
         self._stage_deadlines_ns = {
             Stage.SILENT: self.accept_until_ns + FIRST_REQUEST_TIMEOUT_NS,
             Stage.BETWEEN_REQUESTS: idle_until_ns,
-            Stage.HALF_WRITTEN: min(started_ns + PARTIAL_REQUEST_TIMEOUT_NS, self.answer_by_ns),
+            Stage.HALF_WRITTEN: self.answer_by_ns,
             Stage.UPLOADING: self.answer_by_ns,
             Stage.BUSY: self.close_by_ns,
-            Stage.ANSWERING_AT_LENGTH: streams_until_ns,
             Stage.CLOSING: self.close_by_ns,
         }
 
-        self.ends_by_ns = streams_until_ns + CLOSE_PERIOD_NS  # whatever is still open then is dropped
-
     def stage_deadline_ns(self, stage: Stage) -> int:
-        """When a connection that is still in this stage is to be closed."""
+        """When a connection in this stage is to be closed, unless it is sending a response."""
         return self._stage_deadlines_ns[stage]
--- /dev/null
+++ b/tests/test_moving_answers.py
@@ -0,0 +1,79 @@
+"""No time limit ends a connection while the bytes of an answer still move, in a planned shutdown or before."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from pathlib import Path
+from time import monotonic
+
+from anisespool.config import Address
+from tests.net import Endpoint, Streams, raw_call, read_head, until
+from tests.planned_end import sidecar
+
+DEADLINE_S = 0.3  # of all classes: the schedule of a shutdown is over 0.85 s after SIGTERM
+PIECE, PIECES, PIECE_S = b"x" * 65536, 50, 0.05  # an answer that takes 2.5 s
+BODY = b"y" * 60_000
+SMALL_BUFFER_BYTES = 4096
+REQUESTS = 100  # sent at once; the answers do not fit into the kernel's buffers
+
+
+async def give_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(PIECE) * PIECES))
+    for _ in range(PIECES):
+        writer.write(PIECE)
+        await writer.drain()
+        await asyncio.sleep(PIECE_S)
+
+
+async def connect_with_small_buffer(address: Address) -> Streams:
+    """A client whose kernel holds little, so that the answer waits at the sidecar."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    client.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(client, address)
+    return await asyncio.open_connection(sock=client, limit=SMALL_BUFFER_BYTES)
+
+
+async def read_slowly(reader: asyncio.StreamReader, slow_s: float) -> bytes:
+    """All that comes: small pieces with pauses for `slow_s`, then the rest without."""
+    received, until_s = b"", monotonic() + slow_s
+    while data := await reader.read(SMALL_BUFFER_BYTES):
+        received += data
+        if monotonic() < until_s:
+            await asyncio.sleep(0.04)
+    return received
+
+
+async def test_a_long_answer_goes_on_in_a_planned_shutdown_for_as_long_as_it_moves(tmp_path: Path) -> None:
+    """review/10: it was reset one second after the longest deadline, though no SIGKILL had come."""
+    async with Endpoint(give_slowly).serve() as server:
+        end = await sidecar(tmp_path, DEADLINE_S, server)
+        reader, writer = await asyncio.open_connection(*end.address)
+        writer.write(raw_call())
+        await read_head(reader)
+        end.process.send_signal(signal.SIGTERM)
+        assert await reader.readexactly(len(PIECE) * PIECES)
+        assert await end.wait_exit() == 0
+        writer.close()
+
+
+async def test_answers_that_a_client_still_reads_are_not_cut_off_by_a_planned_shutdown(
+    tmp_path: Path,
+) -> None:
+    """Buffered answers were discarded at the end of the schedule, and the requests behind them unanswered."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+    async with Endpoint(answer).serve() as server:
+        end = await sidecar(tmp_path, DEADLINE_S, server)
+        reader, writer = await connect_with_small_buffer(end.address)
+        writer.write(b"".join(raw_call("once", f"t{n}", left_ms=15_000) for n in range(REQUESTS)))
+        await until(lambda: len(server.requests) > 1)
+        await asyncio.sleep(1.0)  # until the sidecar waits for the client to read
+        assert len(server.requests) < REQUESTS
+        end.process.send_signal(signal.SIGTERM)
+        received = await read_slowly(reader, 1.5)
+        assert received.count(BODY) == len(server.requests)
+        assert received.count(b"HTTP/1.1 200") + received.count(b"HTTP/1.1 503") == REQUESTS
+        assert await end.wait_exit() == 0
+        writer.close()
