Keep a connection open until the client's machine has its whole answer

Callers would see an answer cut off that was written whole: the sidecar closed the connection while the kernel still held a part of it, and the client's next request reset the closed socket, with which the kernel discards what is on its way. Cause: the end after a rejection (1 s), the eviction for a descriptor, the timeout between requests and the close after the last answer asked only whether this process still held bytes of an answer, not whether the kernel did. Change: all four ask for the bytes that the client's machine has not acknowledged; the last one ends only the sending side until it has them.

--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -51,17 +51,19 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress, queued or unread."""
-        if self.is_idle and self._transport and not self.has_unread():
+        if self.is_idle and self._transport and not (self._writer.undelivered_bytes or self.has_unread()):
             self._closing = True
             self._transport.close()
 
     @property
     def is_evictable(self) -> bool:
         """Whether it may be closed to free its descriptor: no request is in progress, queued or being
-        received, and the kernel has all that the client is owed. Closing with a response unsent would lose
-        it; a client that does not read is ended by its timeout."""
-        is_receiving = self._parser.partial and not self._closing and self._timeouts.is_receiving(monotonic())
-        return not (self._busy or self._queue or self._writer.unsent_bytes or is_receiving)
+        received, and the client's machine has all that it is owed. Closing with a response on its way could
+        lose it; a client that does not read is ended by its timeout."""
+        if self._closing:  # no request will follow that could reset the connection
+            return not self._writer.unsent_bytes
+        is_receiving = self._parser.partial and self._timeouts.is_receiving(monotonic())
+        return not (self._busy or self._queue or is_receiving or self._writer.undelivered_bytes)
 
     def idle_score(self, now: float) -> float:
         """Eviction priority, see `ClientTimeouts.idle_score`. Connections that are closing come first."""
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -231,7 +231,7 @@
         self._transport.write(data)
         if close:
             self._closing = True
-            self._transport.close()
+            self._writer.close()
 
     def _reject(self, status: HTTPStatus) -> None:
         if self._parser.failure:
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -99,6 +99,14 @@
         if body_stream:
             body_stream.discard()
 
+    def close(self) -> None:
+        """Close the connection behind what has been written. While the client has yet to receive some of it,
+        only the sending side is shut down: a request that reaches a closed socket resets the connection."""
+        if self.undelivered_bytes:
+            self.end_output()
+        elif self.transport:
+            self.transport.close()
+
     def end_output(self) -> None:
         """Shut down the sending side behind what has been written, and abort the connection once the client
         has had LINGER_TIMEOUT_S to read the end of it."""
@@ -107,12 +115,12 @@
             self._linger()
 
     def _linger(self) -> None:
-        """Responses that are still unsent are not cut off: a client that does not read them has a timeout of
-        its own."""
+        """Responses that are still on their way are not cut off: a client that does not read them has a
+        timeout of its own. Closing could reset the connection, and the kernel discard what it holds."""
         asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._end_linger)
 
     def _end_linger(self) -> None:
-        if self.unsent_bytes:
+        if self.undelivered_bytes:
             self._linger()
         elif self.transport:
             self.transport.abort()
