Measure a slow reader's progress in acknowledged bytes, not by the size of a buffer

Cause: a client had stopped reading when the process's write buffer had the same size at each look for 10 s. The buffer is refilled as it drains, and the kernel takes bytes only when a third of its own buffer is free; a trace showed 119808 bytes at twenty looks in a row while 2 to 4 KB were acknowledged in each. Uploads to order servers went by the same measure. Change: Outgoing counts what was written, and takes what is neither in the process's buffer nor unacknowledged in the kernel for received. Both kinds of connections use it.

--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -11,7 +11,8 @@
 from anisespool.body_stream import BodyStream, read_buffer
 from anisespool.endpoints.attempt import Attempt
 from anisespool.endpoints.pool import Pool
-from anisespool.socket_state import has_events, unacknowledged_bytes
+from anisespool.outgoing import Outgoing
+from anisespool.socket_state import has_events
 from shuntlead.interface import Status
 
 BUFFER_TIMEOUT_S = 0.05  # a response of unknown length is streamed after that; until then it can be retried
@@ -38,7 +39,7 @@
         self._unflushed = False  # the transport still buffers data that the kernel has not accepted
         self._upload: BodyStream | None = None  # the request body while it is streamed
         self._progress_ns = 0  # last progress of a streamed body in either direction
-        self._buffered_bytes = 0  # size of the transport's write buffer at the last stall check
+        self._outgoing = Outgoing()
         self.idle_since = 0.0  # monotonic seconds
         self._request_count = self._response_bytes = 0  # on this connection; of the current response
 
@@ -49,7 +50,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = self._outgoing.transport = transport
         # With a limit of 0, pause_writing and resume_writing tell exactly whether the buffer is empty.
         transport.set_write_buffer_limits(high=0)
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -75,8 +76,7 @@
     def _is_acknowledged(self) -> bool:
         """Whether the endpoint's kernel has acknowledged all data. If the endpoint answered before it had
         read the request, the next one would wait behind it, and might start after a drain has begun."""
-        assert self._transport
-        return not unacknowledged_bytes(self._transport.get_extra_info("socket").fileno())
+        return not self._outgoing.undelivered_bytes
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
@@ -85,7 +85,7 @@
             open_body_stream=self._start_streaming, is_head_response=attempt.request.method == b"HEAD"
         )
         self._request_count, self._response_bytes = self._request_count + 1, 0
-        self._transport.write(data)
+        self._outgoing.write(data)
         # A write that fails at once leaves the buffer empty, but the transport is closing then.
         self._unflushed = self._unflushed or self._transport.is_closing()
         if attempt.request.body_stream:
@@ -99,14 +99,14 @@
     def stream_data(self, data: bytes) -> None:
         """Part of the request body, sent as a chunk if the length is not known."""
         if self._upload and self._transport and not self._transport.is_closing():
-            self._transport.write(data if self._upload.length is not None else http1.encode_chunk(data))
+            self._outgoing.write(data if self._upload.length is not None else http1.encode_chunk(data))
             if self._unflushed:
                 self._upload.pause()
 
     def stream_end(self) -> None:
         upload, self._upload = self._upload, None
         if upload and upload.length is None and self._transport:
-            self._transport.write(http1.LAST_CHUNK)
+            self._outgoing.write(http1.LAST_CHUNK)
         if upload and self._attempt:
             self._attempt.upload_finished()
 
@@ -137,9 +137,8 @@
         body_stream = self._attempt.body_stream if self._attempt else None
         if self._attempt is None or self._transport is None or not (body_stream or self._upload):
             return False
-        buffered, previous = self._transport.get_write_buffer_size(), self._buffered_bytes
-        self._buffered_bytes = buffered
-        if body_stream and body_stream.paused or buffered != previous or self._upload and not buffered:
+        has_moved = self._upload is not None and self._outgoing.has_moved()
+        if has_moved or body_stream and body_stream.paused:
             self._progress_ns = time.monotonic_ns()
         return self._progress_ns < before_ns
 
--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -81,7 +81,7 @@
         if not self._transport or not self._closing and self.has_unread():
             return False
         if self._parser.partial and not self._closing:
-            self._transport.write(http1.encode_response(HTTPStatus.REQUEST_TIMEOUT, close=True))
+            self._writer.write(http1.encode_response(HTTPStatus.REQUEST_TIMEOUT, close=True))
         self._closing = True
         self._transport.abort()
         self._registry.connections.discard(self)
@@ -117,7 +117,8 @@
         """Close the connection if its client has taken too long to send a request or to read a response."""
         if not self._transport or self._transport.is_closing() and not self._writer.unsent_bytes:
             return
-        self._timeouts.record_unsent(self._writer.undelivered_bytes, now)
+        if self._writer.has_moved():
+            self._timeouts.response_received(now)
         if self._timeouts.is_read_stalled(now):
             self._closing = True
             self._transport.abort()
@@ -125,7 +126,7 @@
             if self._timeouts.is_body_late(now):
                 self._abort_upload(HTTPStatus.REQUEST_TIMEOUT)
         elif self._timeouts.is_request_late(now) and not (
-            self._timeouts.unsent_bytes or self._busy or self._closing
+            self._busy or self._closing or self._writer.undelivered_bytes
         ):
             if not self._parser.in_body or self._timeouts.is_body_late(now):
                 self.end_request_wait()
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -148,9 +148,9 @@
             self._process(received)
 
     def _send_continue(self) -> None:
-        if self._parser.wants_continue and self._transport:
+        if self._parser.wants_continue:
             self._parser.wants_continue = False
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _process(self, received: ReceivedRequest) -> None:
         request = received.request
@@ -221,14 +221,13 @@
 
     def _finish_request(self, data: bytes, close: bool) -> None:
         """Write the last bytes of the response to the current request."""
-        assert self._transport
         uploading = self._uploading
         self._busy, self._has_served = False, True
         self._timeouts.answer_sent()
         if uploading:
             self._close_gracefully(data)  # the rest of the body could not be told from a new request
             return
-        self._transport.write(data)
+        self._writer.write(data)
         if close:
             self._closing = True
             self._writer.close()
@@ -244,7 +243,6 @@
         self._closing, self._timeouts.waiting_since = True, time.monotonic()
         if self._request and self._request.body_stream:
             self._request.body_stream.discard()
-        if self._transport:
-            self._transport.write(data)
-            self._resume_reading()
-            self._writer.end_output()
+        self._writer.write(data)
+        self._resume_reading()
+        self._writer.end_output()
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -9,7 +9,7 @@
 
 from anisespool import http1
 from anisespool.body_stream import BodyStream
-from anisespool.socket_state import unacknowledged_bytes
+from anisespool.outgoing import Outgoing
 from anisespool.sockets import end_output, set_option
 
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # buffered for one client before its source is paused
@@ -17,15 +17,15 @@
 SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF; a larger one would only hide how slowly the client reads
 
 
-class ResponseWriter:
+class ResponseWriter(Outgoing):
     """The sink of a `BodyStream`: a response body that is passed on as it arrives from the endpoint."""
 
     def __init__(self, on_end: Callable[[bytes], None], on_broken: Callable[[], None],
                  on_release: Callable[[], None]) -> None:  # fmt: skip
         """`on_end`: the streamed response is complete once these final bytes are written. `on_broken`: its
         source failed. `on_release`: streaming is over, whether it succeeded or not."""
+        super().__init__()
         self._on_end, self._on_broken, self._on_release = on_end, on_broken, on_release
-        self.transport: asyncio.Transport | None = None
         self.client_stalled = False  # the write buffer is full, as the client reads too slowly
         self._body_stream: BodyStream | None = None  # the rest of the current response
         self._chunked = False
@@ -39,19 +39,6 @@
     def is_streaming(self) -> bool:
         return self._body_stream is not None
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Response bytes not yet handed to the kernel, which would be lost if this process exited."""
-        return self.transport.get_write_buffer_size() if self.transport else 0
-
-    @property
-    def undelivered_bytes(self) -> int:
-        """Response bytes that the client's machine has not acknowledged, in this process or in the kernel."""
-        unsent_bytes = self.unsent_bytes
-        if not self.transport or self.transport.is_closing() and not unsent_bytes:
-            return 0
-        return unsent_bytes + unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
-
     def pause(self) -> None:
         """Pause the source of the response. Otherwise a client that keeps sending requests without reading
         the responses would exhaust memory."""
@@ -68,7 +55,7 @@
         """Write the response head, and pass the body on from `body_stream`. `high_water_bytes`: how much is
         buffered for this client before the source is paused."""
         assert self.transport
-        self.transport.write(http1.encode_head(200, body_stream.length, 0.0, not keep_alive, chunked))
+        self.write(http1.encode_head(200, body_stream.length, 0.0, not keep_alive, chunked))
         self.transport.set_write_buffer_limits(high=high_water_bytes)
         set_option(self.transport, socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._body_stream, self._chunked = body_stream, chunked and body_stream.length is None
@@ -78,7 +65,7 @@
         """Nothing is written to a closing transport: asyncio logs every such write, and a single read from
         the endpoint may yield thousands of chunks."""
         if self.transport and self._body_stream and not self.transport.is_closing():
-            self.transport.write(http1.encode_chunk(data) if self._chunked else data)
+            self.write(http1.encode_chunk(data) if self._chunked else data)
             if self.client_stalled:
                 self._body_stream.pause()
 
--- a/anisespool/front/timeouts.py
+++ b/anisespool/front/timeouts.py
@@ -12,7 +12,7 @@
 FIRST_BYTE_GRACE_S = 0.5  # a client may delay its first byte by this much without shortening its timeout
 # A body may take BODY_GRACE_S plus its size at this rate, which is slightly below the rate clients must keep.
 BODY_GRACE_S, MIN_BODY_BYTES_PER_S = 0.75, 60_000
-READ_STALL_TIMEOUT_S = 10.0  # for a client to read any of the response bytes buffered for it
+READ_STALL_TIMEOUT_S = 10.0  # for a client to receive any of the response bytes that it is owed
 NO_REQUEST_WEIGHT = 8.0  # idle time before the first request weighs this much more than between requests
 RECEIVE_IDLE_TIMEOUT_S = 1.0  # a partial request without a new byte for this long is no longer being received
 
@@ -26,8 +26,7 @@
         self._body_started_at = 0.0  # when the headers of the latest request were complete
         self._body_bytes = 0  # received since then
         self._paused_at = 0.0  # when the upload was paused; 0: not paused
-        # Response bytes buffered for the client, and when it last read any
-        self.unsent_bytes, self._last_drained_at = 0, 0.0
+        self._last_delivered_at = 0.0  # when the client last received response bytes, or was owed none
 
     @property
     def is_upload_paused(self) -> bool:
@@ -56,17 +55,14 @@
             self._paused_at = 0.0
 
     def answer_sent(self) -> None:
-        self.waiting_since = self._last_drained_at = time.monotonic()
+        self.waiting_since = self._last_delivered_at = time.monotonic()
 
-    def record_unsent(self, unsent_bytes: int, now: float) -> None:
-        """Record how many response bytes are buffered for the client; a change shows that it is reading."""
-        if unsent_bytes != self.unsent_bytes or not unsent_bytes:
-            self._last_drained_at = now
-        self.unsent_bytes = unsent_bytes
+    def response_received(self, now: float) -> None:
+        self._last_delivered_at = now
 
     def is_read_stalled(self, now: float) -> bool:
-        """The client has read none of its response for too long."""
-        return now > self._last_drained_at + READ_STALL_TIMEOUT_S
+        """The client has received none of its response for too long."""
+        return now > self._last_delivered_at + READ_STALL_TIMEOUT_S
 
     def is_request_late(self, now: float) -> bool:
         return now > self.waiting_since + REQUEST_TIMEOUT_S
--- a/tests/net.py
+++ b/tests/net.py
@@ -61,6 +61,7 @@
     """A server that listens on its own loopback port."""
 
     receive_buffer_bytes = 0  # SO_RCVBUF; 0: the system default
+    read_ahead_bytes = 1 << 16  # that a stream reads before the test asks for it
 
     def __init__(self) -> None:
         self.connections: list[Streams] = []
@@ -75,7 +76,9 @@
 
     @asynccontextmanager
     async def serve(self) -> AsyncIterator[Self]:
-        server = await asyncio.start_server(self._connected, sock=self._listener(), backlog=512)
+        server = await asyncio.start_server(
+            self._connected, sock=self._listener(), backlog=512, limit=self.read_ahead_bytes
+        )
         self.address = Address(*server.sockets[0].getsockname())
         try:
             yield self
--- a/tests/test_moving_answers.py
+++ b/tests/test_moving_answers.py
@@ -5,17 +5,26 @@
 import asyncio
 import signal
 import socket
+from collections.abc import AsyncIterator
 from pathlib import Path
 from time import monotonic
+from types import ModuleType
+
+import pytest
 
 from anisespool.config import Address
-from tests.net import Endpoint, Streams, raw_call, read_head, until
+from anisespool.endpoints import endpoints
+from anisespool.front import server, timeouts
+from tests.net import Endpoint, Streams, exchange, harness, raw_call, read_head, until
 from tests.planned_end import sidecar
+from tests.test_long import BodySink
 
 DEADLINE_S = 0.3  # of all classes: the schedule of a shutdown is over 0.85 s after SIGTERM
 PIECE, PIECES, PIECE_S = b"x" * 65536, 50, 0.05  # an answer that takes 2.5 s
 BODY = b"y" * 60_000
 SMALL_BUFFER_BYTES = 4096
+STALL_TIMEOUT_S = 0.3
+LONG_BYTES = 8 << 20  # more than the kernel's buffers hold
 REQUESTS = 100  # sent at once; the answers do not fit into the kernel's buffers
 
 
@@ -27,6 +36,12 @@
         await asyncio.sleep(PIECE_S)
 
 
+async def give_at_once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_BYTES)
+    writer.write(b"z" * LONG_BYTES)
+    await writer.drain()
+
+
 async def connect_with_small_buffer(address: Address) -> Streams:
     """A client whose kernel holds little, so that the answer waits at the sidecar."""
     client = socket.socket()
@@ -36,10 +51,10 @@
     return await asyncio.open_connection(sock=client, limit=SMALL_BUFFER_BYTES)
 
 
-async def read_slowly(reader: asyncio.StreamReader, slow_s: float) -> bytes:
-    """All that comes: small pieces with pauses for `slow_s`, then the rest without."""
+async def read_slowly(reader: asyncio.StreamReader, slow_s: float, until_bytes: int = 1 << 62) -> bytes:
+    """All that comes, or `until_bytes`: small pieces with pauses for `slow_s`, then the rest without."""
     received, until_s = b"", monotonic() + slow_s
-    while data := await reader.read(SMALL_BUFFER_BYTES):
+    while len(received) < until_bytes and (data := await reader.read(SMALL_BUFFER_BYTES)):
         received += data
         if monotonic() < until_s:
             await asyncio.sleep(0.04)
@@ -77,3 +92,44 @@
         assert received.count(b"HTTP/1.1 200") + received.count(b"HTTP/1.1 503") == REQUESTS
         assert await end.wait_exit() == 0
         writer.close()
+
+
+def accept_little(monkeypatch: pytest.MonkeyPatch, module: ModuleType, timeout: str) -> None:
+    monkeypatch.setattr(module, timeout, STALL_TIMEOUT_S)
+    for sweeping in (server, endpoints):
+        monkeypatch.setattr(sweeping, "SWEEP_INTERVAL_S", 0.02)
+
+
+async def test_a_client_that_reads_evenly_is_not_taken_for_one_that_has_stopped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """review/6: the kernel took nothing from the sidecar's buffer for longer than the timeout."""
+    accept_little(monkeypatch, timeouts, "READ_STALL_TIMEOUT_S")
+    async with Endpoint(give_at_once).serve() as endpoint, harness(tmp_path, endpoint) as it:
+        reader, writer = await connect_with_small_buffer(it.address)
+        writer.write(raw_call())
+        received = await read_slowly(reader, 2.0, until_bytes=LONG_BYTES)
+        assert len(received.partition(b"\r\n\r\n")[2]) == LONG_BYTES
+        writer.close()
+
+
+async def test_a_server_that_reads_evenly_is_not_taken_for_one_that_has_stopped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The same of a long request body, whose upload was given up."""
+    accept_little(monkeypatch, endpoints, "STALL_S")
+
+    class SlowSink(BodySink):
+        receive_buffer_bytes = read_ahead_bytes = SMALL_BUFFER_BYTES
+
+        async def _body(self, reader: asyncio.StreamReader, head: bytes) -> AsyncIterator[bytes]:
+            until_s, left_bytes = monotonic() + 2.0, LONG_BYTES
+            while left_bytes:
+                data = await reader.read(min(left_bytes, SMALL_BUFFER_BYTES))
+                left_bytes -= len(data)
+                yield data
+                await asyncio.sleep(0.04 if monotonic() < until_s else 0)
+
+    async with SlowSink().serve() as endpoint, harness(tmp_path, endpoint) as it:
+        answer = await exchange(it.address, raw_call("once", left_ms=15_000, body=b"z" * LONG_BYTES))
+        assert answer.status == 200 and endpoint.bodies[0][0] == LONG_BYTES
