Read and answer all that has arrived before a planned shutdown ends a connection

Cause: reading pauses at nine queued requests, so the next one is read in part; once the queue was refused, the schedule took the connection for one whose client writes slowly, and ended it without a look at what lay unread. Change: a half-written connection with bytes unread is read on; at the end of the schedule what is queued and what is unread is refused; the process waits for unread requests until the earliest SIGKILL.

--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -99,20 +99,14 @@
     def end_stage(self, stage: Stage) -> None:
         """The shutdown schedule leaves no more time for this stage."""
         if stage is Stage.BUSY and not self._busy:
-            self._refuse_queue()
+            self._refuse_requests()
         elif stage in (Stage.BUSY, Stage.CLOSING):
             self._closing = True
             if self._transport:
                 self._transport.abort()
-        else:
+        elif stage is not Stage.HALF_WRITTEN or not self.has_unread():  # else the rest is there to be read
             self.end_request_wait()
 
-    def _refuse_queue(self) -> None:
-        """Refuse the queued requests, which wait behind responses that the client has not read yet."""
-        refusals = http1.encode_response(HTTPStatus.SERVICE_UNAVAILABLE) * (len(self._queue) - 1)
-        self._queue.clear()
-        self._close_gracefully(refusals + http1.encode_response(HTTPStatus.SERVICE_UNAVAILABLE, close=True))
-
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if its client has taken too long to send a request or to read a response."""
         if not self._transport or self._transport.is_closing() and not self._writer.unsent_bytes:
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -30,7 +30,7 @@
         self._parser = http1.RequestParser(self._pause_upload, self._resume_upload)
         self._queue: deque[ReceivedRequest] = deque()
         self._busy = self._closing = self._has_served = False
-        self._refuses_requests = False  # the connection limit was exceeded
+        self._refuses_requests = False  # whatever else is received here is refused
         self._request: http1.Request | None = None  # the current one
         self._request_id = 0  # the driver's id of the current request; 0: none, or answered
         self._timeouts = ClientTimeouts()
@@ -131,7 +131,7 @@
 
     def _process_queue(self) -> None:
         """Handle the queued requests in order. It loops, as a request may be answered immediately."""
-        while not (self._busy or self._closing or self._writer.client_stalled):
+        while not (self._busy or self._closing or self._waits_for_client):
             if not self._queue:
                 if self._parser.error:
                     self._reject(HTTPStatus(self._parser.error))
@@ -147,6 +147,16 @@
             self._busy, self._request_id, self._request = True, 0, request
             self._process(received)
 
+    @property
+    def _waits_for_client(self) -> bool:
+        """Whether the client has to read its responses before there are more. Refusals are short."""
+        return self._writer.client_stalled and not self._refuses_requests
+
+    def _refuse_requests(self) -> None:
+        """Refuse all requests that are queued or still unread, and close the connection behind the last."""
+        self._refuses_requests = True
+        self._process_queue()
+
     def _send_continue(self) -> None:
         if self._parser.wants_continue:
             self._parser.wants_continue = False
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -197,9 +197,12 @@
 
     def _has_work(self, shutdown: Shutdown) -> bool:
         """Whether the shutdown has to wait for a connection. Past the schedule's end this is so only for
-        responses that have begun."""
-        if time.monotonic_ns() < shutdown.ends_by_ns:
+        responses that have begun, and until SIGKILL for requests that have arrived."""
+        now_ns = time.monotonic_ns()
+        if now_ns < shutdown.ends_by_ns:
             return bool(self.connections or self._accept_tasks)
+        if now_ns < shutdown.kill_ns and any(connection.has_unread() for connection in self.connections):
+            return True
         return any(connection.is_sending for connection in self.connections)
 
     def _end_overdue_stages(self, shutdown: Shutdown) -> None:
--- a/tests/test_planned_end.py
+++ b/tests/test_planned_end.py
@@ -13,6 +13,7 @@
 from tests.net import Endpoint, held_until, raw_call, until
 from tests.planned_end import PlannedShutdown, sidecar
 from tests.test_program import NOWHERE
+from tests.test_sidecar import slow
 
 # Longest deadline and arrival of the late request, in s; SIGKILL comes 1.7 s and 3.7 s after SIGTERM.
 SHORT, LONG = (1.0, 0.8), (5.0, 1.2)
@@ -191,3 +192,18 @@
         over.set()
         await asyncio.gather(*clients)
         assert connected > 20
+
+
+async def test_all_that_a_client_sent_at_once_before_a_planned_shutdown_is_answered(tmp_path: Path) -> None:
+    """review/9: a request read in part, as reading was paused, passed for one that is written slowly."""
+    body, count = b"x" * 30_000, 120
+    async with Endpoint(slow(0.1)).serve() as server:
+        end = await sidecar(tmp_path, 5.0, server)
+        reader, writer = await asyncio.open_connection(*end.address)
+        writer.write(b"".join(raw_call("once", f"t{n}", 5000, body) for n in range(count)))
+        await until(lambda: len(server.requests) == 3)
+        end.terminate()
+        answers = await reader.read()
+        assert (answers.count(b"HTTP/1.1 "), answers.count(b"HTTP/1.1 4")) == (count, 0)
+        assert await end.wait_exit() == 0
+        writer.close()
