Bound what one process holds as a sum over all connections, with what the objects cost

Cause: each limit counted the bytes of one connection as they came. A chunk of four bytes took an object of 50, a short field 200, one read could hold hundreds of requests, long answers kept the share of the first, and nothing was added up. Change: bodies are one buffer; only the fields that are read are kept; reads are small where heads are due; MemoryBudget is the sum over all connections in both directions, makes reads smaller as it runs out, lets incomplete requests wait unread in turn, and refuses as many as it takes after 0.5 s. The reading side of HttpConnection and the sending side of endpoint connections are modules of their own now. test_short_io.py failed the fourth write of a request in chunks of 20 bytes; a read is passed on in one write now, so it fails the second one: still in the midst of a body.

--- a/anisespool/body_stream.py
+++ b/anisespool/body_stream.py
@@ -29,11 +29,16 @@
     def __init__(self, length: int | None, pause: Callable[[], None], resume: Callable[[], None]) -> None:
         self.length = length  # None: unknown in advance (chunked, or until the connection closes)
         self.done = self.broken = self.paused = False
-        self._buffered: list[bytes] = []
+        self._buffered = bytearray()
         self._sink: Sink | None = None
         self._discarded = False
         self._pause, self._resume = pause, resume
 
+    @property
+    def held_bytes(self) -> int:
+        """What waits for a sink."""
+        return len(self._buffered)
+
     # Called by the source -------------------------------------------------------------------------
 
     def feed(self, data: bytes) -> None:
@@ -41,7 +46,7 @@
         if self._sink:
             self._sink.stream_data(data)
         elif not self._discarded:
-            self._buffered.append(data)
+            self._buffered += data
             self.pause()
 
     def end(self) -> None:
@@ -64,10 +69,10 @@
 
     def attach(self, sink: Sink) -> None:
         """Resume the source and pass the buffered data to the sink, which may pause the source again."""
-        self._sink, buffered, self._buffered = sink, self._buffered, []
+        self._sink, buffered, self._buffered = sink, bytes(self._buffered), bytearray()
         self.resume()
-        for data in buffered:
-            sink.stream_data(data)
+        if buffered:
+            sink.stream_data(buffered)
         if self.done:
             sink.stream_end()
         elif self.broken:
@@ -76,7 +81,7 @@
     def discard(self) -> None:
         """Discard the rest of the body."""
         self._sink, self._discarded = None, True
-        self._buffered.clear()
+        self._buffered = bytearray()
         self.resume()
 
     def pause(self) -> None:
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -11,7 +11,8 @@
 from anisespool.body_stream import BodyStream, read_buffer
 from anisespool.endpoints.attempt import Attempt
 from anisespool.endpoints.pool import Pool
-from anisespool.outgoing import Outgoing
+from anisespool.endpoints.request_sender import RequestSender
+from anisespool.memory_budget import Holding, MemoryBudget
 from anisespool.socket_state import has_events
 from shuntlead.interface import Status
 
@@ -22,6 +23,7 @@
     """Counts the open connections and takes back those that are free for another request."""
 
     report_columns: tuple[str, ...]
+    memory: MemoryBudget
     connections: set[Connection]
 
     def release(self, connection: Connection, pool: Pool) -> None: ...
@@ -36,36 +38,38 @@
         self._parser: http1.ResponseParser | None = None  # of the response to the current attempt
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
-        self._unflushed = False  # the transport still buffers data that the kernel has not accepted
-        self._upload: BodyStream | None = None  # the request body while it is streamed
         self._progress_ns = 0  # last progress of a streamed body in either direction
-        self._outgoing = Outgoing()
+        self._sender, self._holding = RequestSender(self._record_progress), Holding(owner.memory)
         self.idle_since = 0.0  # monotonic seconds
         self._request_count = self._response_bytes = 0  # on this connection; of the current response
 
     @property
     def has_unsent_data(self) -> bool:
         """Whether part of the request has not been handed to the kernel, so that it cannot have run."""
-        return self._unflushed or self._upload is not None
+        return self._sender.has_unsent_data
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self._transport = self._outgoing.transport = transport
-        # With a limit of 0, pause_writing and resume_writing tell exactly whether the buffer is empty.
-        transport.set_write_buffer_limits(high=0)
+        self._transport = transport
+        self._sender.attach(transport)
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._register()
 
     def pause_writing(self) -> None:
-        self._unflushed = True
-        if self._upload:
-            self._upload.pause()
+        self._sender.pause()
+        self._account()
 
     def resume_writing(self) -> None:
-        self._unflushed = False
+        self._sender.resume()
+        self._account()
+
+    def _record_progress(self) -> None:
         self._progress_ns = time.monotonic_ns()
-        if self._upload:
-            self._upload.resume()
+
+    def _account(self) -> None:
+        """Report the memory that the request and the response take here."""
+        response_bytes = self._parser.held_bytes if self._parser else 0
+        self._holding.set(response_bytes + self._sender.unsent_bytes)
 
     def is_usable(self) -> bool:
         """Whether a request may be written. The endpoint may have closed an idle connection without the event
@@ -76,7 +80,7 @@
     def _is_acknowledged(self) -> bool:
         """Whether the endpoint's kernel has acknowledged all data. If the endpoint answered before it had
         read the request, the next one would wait behind it, and might start after a drain has begun."""
-        return not self._outgoing.undelivered_bytes
+        return not self._sender.undelivered_bytes
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
@@ -85,33 +89,8 @@
             open_body_stream=self._start_streaming, is_head_response=attempt.request.method == b"HEAD"
         )
         self._request_count, self._response_bytes = self._request_count + 1, 0
-        self._outgoing.write(data)
-        # A write that fails at once leaves the buffer empty, but the transport is closing then.
-        self._unflushed = self._unflushed or self._transport.is_closing()
-        if attempt.request.body_stream:
-            self._progress_ns = time.monotonic_ns()
-            self._upload = attempt.request.body_stream
-            attempt.upload_started()
-            self._upload.attach(self)
-
-    # The streamed request body, as the sink of its BodyStream -----------------------------------------------
-
-    def stream_data(self, data: bytes) -> None:
-        """Part of the request body, sent as a chunk if the length is not known."""
-        if self._upload and self._transport and not self._transport.is_closing():
-            self._outgoing.write(data if self._upload.length is not None else http1.encode_chunk(data))
-            if self._unflushed:
-                self._upload.pause()
-
-    def stream_end(self) -> None:
-        upload, self._upload = self._upload, None
-        if upload and upload.length is None and self._transport:
-            self._outgoing.write(http1.LAST_CHUNK)
-        if upload and self._attempt:
-            self._attempt.upload_finished()
-
-    def stream_failed(self) -> None:
-        """Nothing to do: the reader of the client connection ends the request."""
+        self._sender.start(attempt, data)
+        self._account()
 
     # The response -----------------------------------------------------------------------------------
 
@@ -135,9 +114,9 @@
         """Whether a streamed body has made no progress since `before_ns`. A response that is paused because
         the client does not read it is not stalled."""
         body_stream = self._attempt.body_stream if self._attempt else None
-        if self._attempt is None or self._transport is None or not (body_stream or self._upload):
+        if self._attempt is None or self._transport is None or not (body_stream or self._sender.is_uploading):
             return False
-        has_moved = self._upload is not None and self._outgoing.has_moved()
+        has_moved = self._sender.is_uploading and self._sender.has_moved()
         if has_moved or body_stream and body_stream.paused:
             self._progress_ns = time.monotonic_ns()
         return self._progress_ns < before_ns
@@ -154,7 +133,7 @@
             self._pool.close_idle()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return read_buffer
+        return read_buffer[: self._owner.memory.read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         self._pool.last_received_ns = self._progress_ns = time.monotonic_ns()
@@ -165,6 +144,9 @@
         assert self._parser
         parser, had_head = self._parser, self._parser.status >= 200
         response = parser.feed(read_buffer[:nbytes])
+        if self._owner.memory.is_exhausted and parser.status == 200:
+            parser.start_streaming()
+        self._account()
         if parser is not self._parser:
             return  # the attempt was aborted by a callback of the parser
         if response:
@@ -187,6 +169,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._unregister()
+        self._holding.set(0)
         if self in self._pool.idle:
             self._pool.idle.remove(self)
         if self._attempt is None or self._parser is None:
@@ -234,12 +217,11 @@
 
     def _detach_attempt(self) -> None:
         self._attempt = None
-        upload, self._upload = self._upload, None
-        if upload:
-            upload.discard()
+        self._sender.stop()
         if self._parser:
             parser, self._parser = self._parser, None
             parser.close()
+        self._account()
 
     def discard(self) -> None:
         """Closes without flushing, so that no more of an aborted request is sent."""
@@ -247,3 +229,4 @@
         self._unregister()
         if self._transport:
             self._transport.abort()
+        self._holding.set(0)
--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -14,6 +14,7 @@
 from anisespool.endpoints.pool import REUSE_DELAY_S, Pool, PooledConnection
 from anisespool.errors.system import SystemFailure, classify, is_local_shortage, to_fault
 from anisespool.log import log_error, log_info
+from anisespool.memory_budget import DEFAULT_MEMORY_BYTES, MemoryBudget
 from shuntlead.interface import Status
 
 FORWARDED_HEADERS = {b"x-trace-id": b"X-Trace-Id", b"idempotency-key": b"Idempotency-Key",
@@ -32,13 +33,12 @@
     """The pools by endpoint number."""
 
     def __init__(
-        self,
-        report_columns: tuple[str, ...],
-        connect_timeout_ns: int,
-        keepalive_ns: int,
-        max_connections: int,
-    ) -> None:
+        self, report_columns: tuple[str, ...], connect_timeout_ns: int, keepalive_ns: int,
+        max_connections: int, memory: MemoryBudget | None = None,
+    ) -> None:  # fmt: skip
+        """`memory`: what all connections of the process together may hold."""
         self.report_columns = report_columns
+        self.memory = memory or MemoryBudget(DEFAULT_MEMORY_BYTES)
         self._connect_timeout_s = connect_timeout_ns / 1e9 or 1.0
         self._max_idle_s = keepalive_ns / 1e9 * KEEPALIVE_SHARE
         self._max_connections = max_connections
--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -11,6 +11,7 @@
 from anisespool.front.http_connection import HttpConnection
 from anisespool.front.server_interface import ConnectionRegistry
 from anisespool.front.shutdown import Stage
+from anisespool.telemetry import TELEMETRY
 
 
 class ClientConnection(HttpConnection):
@@ -107,6 +108,21 @@
         elif stage is not Stage.HALF_WRITTEN or not self.has_unread():  # else the rest is there to be read
             self.end_request_wait()
 
+    def _end_memory_wait(self) -> None:
+        """Refuse the incomplete request, which lets go of what it holds. Other connections are read again."""
+        if self._parser.partial and not (self._busy or self._queue):
+            TELEMETRY.count("refused as out of memory")
+            self._close_gracefully(
+                http1.encode_response(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    b"out of memory\n",
+                    self._server.retry_after_s(),
+                    close=True,
+                )
+            )
+        elif not self._queue:
+            self._on_memory()
+
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if its client has taken too long to send a request or to read a response."""
         if not self._transport or self._transport.is_closing() and not self._writer.unsent_bytes:
@@ -116,6 +132,8 @@
         if self._timeouts.is_read_stalled(now):
             self._closing = True
             self._transport.abort()
+        elif self.has_waited_for_memory(now):
+            self._end_memory_wait()
         elif self._uploading:
             if self._timeouts.is_body_late(now):
                 self._abort_upload(HTTPStatus.REQUEST_TIMEOUT)
--- a/anisespool/front/client_reader.py
+++ b/anisespool/front/client_reader.py
@@ -1,7 +1,6 @@
 """The reading side of a client connection: pausing reads, arrival times and detection of a disconnect.
 
-Reading is paused while too many pipelined requests are queued, or while the endpoint of a streamed body
-can't take more of it. The event loop reports no disconnect on a paused connection, so it is polled.
+The event loop reports no disconnect on a connection whose reading is paused, so it is polled.
 """
 
 from __future__ import annotations
@@ -9,14 +8,25 @@
 import asyncio
 import select
 import time
+from collections.abc import Callable
+from enum import Enum, auto
 from typing import Protocol
 
 from anisespool.front.arrival_times import ArrivalTimes
+from anisespool.front.timeouts import ClientTimeouts
 from anisespool.socket_state import has_events, since_data_ms, unread_bytes
 
 DISCONNECT_POLL_INTERVAL_S = 0.04  # no attempt may start more than 0.1 s after its client has disconnected
 
 
+class PauseReason(Enum):
+    """Why a connection is not read."""
+
+    QUEUE = auto()  # too many pipelined requests are queued
+    UPLOAD = auto()  # the endpoint of a streamed body takes no more of it
+    MEMORY = auto()  # the process holds too much for all its connections
+
+
 class PausedConnection(Protocol):
     """A connection whose reading is paused, as `PausedConnections` sees it."""
 
@@ -30,7 +40,9 @@
 class PausedConnections:
     """Polls all paused connections for a disconnect. Its timer runs only while there are any."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_poll: Callable[[], None] = lambda: None) -> None:
+        """`on_poll`: called before each poll; it may let connections read again."""
+        self._on_poll = on_poll
         self._connections: set[PausedConnection] = set()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -44,6 +56,7 @@
 
     def _check(self) -> None:
         self._timer = None
+        self._on_poll()
         if self._connections:
             self._timer = asyncio.get_running_loop().call_later(DISCONNECT_POLL_INTERVAL_S, self._check)
         for connection in self._connections:
@@ -61,6 +74,8 @@
         self._transport: asyncio.Transport | None = None
         self._hangup_poll, self._unread_poll = select.poll(), select.poll()
         self._arrival_times = ArrivalTimes()
+        self._pause_reasons: set[PauseReason] = set()
+        self._timeouts = ClientTimeouts()
 
     def _on_client_gone(self) -> None:
         """The client has disconnected: start nothing more for it, and cancel what is in progress."""
@@ -109,12 +124,23 @@
         if self._transport:
             self._transport.abort()
 
-    def _pause_reading(self) -> None:
+    def _pause_reading(self, reason: PauseReason) -> None:
+        self._pause_reasons.add(reason)
+        self._timeouts.pause()
         if self._transport:
             self._transport.pause_reading()
             self._paused_connections.add(self)
 
-    def _resume_reading(self) -> None:
+    def _resume_reading(self, reason: PauseReason) -> None:
+        """Read again, if this was the only reason left."""
+        self._pause_reasons.discard(reason)
+        if not self._pause_reasons:
+            self._read_again()
+
+    def _read_again(self) -> None:
+        """Read, whatever reason there was to pause."""
+        self._pause_reasons.clear()
+        self._timeouts.resume()
         self._paused_connections.discard(self)
         if self._transport and not self._transport.is_closing():
             self._transport.resume_reading()
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -4,36 +4,29 @@
 
 import asyncio
 import time
-from collections import deque
 from http import HTTPStatus
 
 from anisespool import http1
-from anisespool.body_stream import BodyStream, read_buffer
+from anisespool.body_stream import BodyStream
 from anisespool.exchange import Answer
-from anisespool.front.client_reader import ClientReader
+from anisespool.front.client_reader import PauseReason
 from anisespool.front.request_decoding import InvalidRequest, ReceivedRequest, decode_received
+from anisespool.front.request_reader import RequestReader
 from anisespool.front.response_writer import ResponseWriter
 from anisespool.front.server_interface import ServerInterface
-from anisespool.front.timeouts import ClientTimeouts
 from anisespool.log import log_error
 
-MAX_PIPELINED_REQUESTS = 8  # queued behind the current one before reading is paused
 
-
-class HttpConnection(ClientReader):
+class HttpConnection(RequestReader):
     """Passes requests to the driver (`Sidecar`) and writes the responses. It reads at all times, to notice a
-    disconnect, except while too many requests are queued or the endpoint of a streamed body is too slow."""
+    disconnect, except for the reasons in `PauseReason`."""
 
     def __init__(self, server: ServerInterface) -> None:
-        super().__init__(server.paused_connections)
-        self._server = server
-        self._parser = http1.RequestParser(self._pause_upload, self._resume_upload)
-        self._queue: deque[ReceivedRequest] = deque()
-        self._busy = self._closing = self._has_served = False
+        super().__init__(server)
+        self._busy = False
         self._refuses_requests = False  # whatever else is received here is refused
         self._request: http1.Request | None = None  # the current one
         self._request_id = 0  # the driver's id of the current request; 0: none, or answered
-        self._timeouts = ClientTimeouts()
         self._writer = ResponseWriter(self._on_end, self._on_broken, lambda: server.streaming.discard(self))
 
     @property
@@ -52,29 +45,6 @@
         self._writer.attach(transport)
         self._register_polls()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        if self._closing:
-            return
-        now_ns, was_partial, was_in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
-        self._timeouts.data_received(now_ns / 1e9)
-        arrived_ns = self._arrival_ns(now_ns, nbytes)
-        stalled = self._server.stall_detector.is_stalled(now_ns)
-        done = self._parser.feed(read_buffer[:nbytes])
-        self._queue.extend(ReceivedRequest(request, arrived_ns, now_ns, stalled) for request in done)
-        if self._parser.partial and not was_partial:
-            self._timeouts.request_started(now_ns / 1e9, self._has_served)
-        if self._parser.in_body and not was_in_body:
-            self._timeouts.body_started(now_ns / 1e9)
-        self._timeouts.count_bytes(nbytes)
-        if len(self._queue) > MAX_PIPELINED_REQUESTS:
-            self._pause_reading()
-        if self._uploading and self._parser.error:
-            self._abort_upload(HTTPStatus(self._parser.error))
-        self._process_queue()
-
     def eof_received(self) -> None:
         """While bytes are unsent, the transport reports a disconnect late, and more work would be started."""
         if self._writer.is_streaming:  # an orderly close could pass for the end of the body
@@ -86,6 +56,7 @@
         self._paused_connections.discard(self)
         self._writer.release()
         self._parser.close()
+        self._release_memory()
 
     def _on_client_gone(self) -> None:
         """The client has disconnected: start nothing more for it, and cancel what is in progress."""
@@ -97,10 +68,12 @@
 
     def pause_writing(self) -> None:
         self._writer.pause()
+        self._account()
 
     def resume_writing(self) -> None:
         self._writer.resume()
         self._process_queue()
+        self._account()
 
     # Streamed request bodies ----------------------------------------------------------------------
 
@@ -110,15 +83,6 @@
         body_stream = self._request.body_stream if self._busy and self._request else None
         return body_stream is not None and not body_stream.done
 
-    def _pause_upload(self) -> None:
-        self._timeouts.pause_upload()
-        self._pause_reading()
-
-    def _resume_upload(self) -> None:
-        self._timeouts.resume_upload()
-        if len(self._queue) <= MAX_PIPELINED_REQUESTS:
-            self._resume_reading()
-
     def _abort_upload(self, status: HTTPStatus) -> None:
         """The rest of the body is invalid or late. The endpoint has only received an incomplete request."""
         request_id, self._request_id = self._request_id, 0
@@ -127,6 +91,15 @@
         self._busy = False
         self._reject(status)
 
+    def _handle_received(self) -> None:
+        if self._uploading and self._parser.error:
+            self._abort_upload(HTTPStatus(self._parser.error))
+        self._process_queue()
+
+    def _held_besides_queue(self) -> int:
+        request_bytes = self._request.held_bytes if self._busy and self._request else 0
+        return request_bytes + self._writer.unsent_bytes
+
     # Responses ------------------------------------------------------------------------------------
 
     def _process_queue(self) -> None:
@@ -142,8 +115,8 @@
             request = received.request
             if request.body_stream and request.body_stream.broken:
                 continue  # the parser's error is reported once the queue is empty
-            if not self._timeouts.is_upload_paused and len(self._queue) <= MAX_PIPELINED_REQUESTS:
-                self._resume_reading()
+            if PauseReason.QUEUE in self._pause_reasons and not self._queue.is_long:
+                self._resume_reading(PauseReason.QUEUE)
             self._busy, self._request_id, self._request = True, 0, request
             self._process(received)
 
@@ -213,8 +186,9 @@
     def _stream_answer(self, request: http1.Request, body_stream: BodyStream, close: bool) -> None:
         chunked = request.version == "1.1"
         keep_alive = not close and (chunked or body_stream.length is not None)
-        self._request = request._replace(keep_alive=keep_alive)
-        self._writer.start(body_stream, keep_alive, chunked, self._server.response_buffer_bytes(self))
+        self._request = request._replace(keep_alive=keep_alive, body=b"")
+        self._server.streaming.add(self)
+        self._writer.start(body_stream, keep_alive, chunked, self._server.response_buffer_bytes)
 
     def _on_end(self, final_bytes: bytes) -> None:
         """A streamed response is complete once these final bytes are written."""
@@ -241,6 +215,7 @@
         if close:
             self._closing = True
             self._writer.close()
+        self._account()
 
     def _reject(self, status: HTTPStatus) -> None:
         if self._parser.failure:
@@ -254,5 +229,6 @@
         if self._request and self._request.body_stream:
             self._request.body_stream.discard()
         self._writer.write(data)
-        self._resume_reading()
+        self._stop_receiving()
         self._writer.end_output()
+        self._account()
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -29,6 +29,7 @@
         self.client_stalled = False  # the write buffer is full, as the client reads too slowly
         self._body_stream: BodyStream | None = None  # the rest of the current response
         self._chunked = False
+        self._buffer_bytes: Callable[[], int] = lambda: WRITE_HIGH_WATER_BYTES
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Write to this connection, whose small writes the kernel must not hold back."""
@@ -51,12 +52,14 @@
         if self._body_stream:
             self._body_stream.resume()
 
-    def start(self, body_stream: BodyStream, keep_alive: bool, chunked: bool, high_water_bytes: int) -> None:
-        """Write the response head, and pass the body on from `body_stream`. `high_water_bytes`: how much is
-        buffered for this client before the source is paused."""
+    def start(
+        self, body_stream: BodyStream, keep_alive: bool, chunked: bool, buffer_bytes: Callable[[], int]
+    ) -> None:
+        """Write the response head, and pass the body on from `body_stream`. `buffer_bytes`: how much may be
+        buffered for this client now before the source is paused."""
         assert self.transport
+        self._buffer_bytes = buffer_bytes
         self.write(http1.encode_head(200, body_stream.length, 0.0, not keep_alive, chunked))
-        self.transport.set_write_buffer_limits(high=high_water_bytes)
         set_option(self.transport, socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._body_stream, self._chunked = body_stream, chunked and body_stream.length is None
         body_stream.attach(self)
@@ -65,6 +68,7 @@
         """Nothing is written to a closing transport: asyncio logs every such write, and a single read from
         the endpoint may yield thousands of chunks."""
         if self.transport and self._body_stream and not self.transport.is_closing():
+            self.transport.set_write_buffer_limits(high=self._buffer_bytes())
             self.write(http1.encode_chunk(data) if self._chunked else data)
             if self.client_stalled:
                 self._body_stream.pause()
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -20,6 +20,7 @@
 from anisespool.front.shutdown import Shutdown, Stage
 from anisespool.front.stall_detector import StallDetector
 from anisespool.log import log_error
+from anisespool.memory_budget import DEFAULT_MEMORY_BYTES, MemoryBudget
 from anisespool.sidecar import Sidecar
 from shuntlead import Settings
 
@@ -29,6 +30,7 @@
 ACCEPT_RETRY_DELAY_S = 0.05  # when no descriptor is left, or accept(2) fails with an unknown error
 SWEEP_INTERVAL_S = 0.25
 EVICTION_ORDER_LIFETIME_S = 0.05  # how long a sorted eviction order is used before it is computed again
+STREAMS_SHARE = 2  # half of the memory buffers streamed responses
 MIN_RESPONSE_BUFFER_BYTES = 4 * 1024  # per client, however many responses are streamed at once
 
 
@@ -42,14 +44,17 @@
         names: NameIndex,
         settings: Settings,
         max_connections: int,
-        buffer_bytes: int = 1 << 23,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        """`buffer_bytes`: what all streamed responses together may buffer for their clients."""
+        """`memory`: what all connections of the process together may hold."""
         self.sidecar, self.names, self.settings = sidecar, names, settings
-        self._buffer_bytes = buffer_bytes
+        self.memory = memory or MemoryBudget(DEFAULT_MEMORY_BYTES)
         self.streaming: set[HttpConnection] = set()
         self.connections: set[ClientConnection] = set()
-        self.paused_connections, self.stall_detector = PausedConnections(), StallDetector()
+        self.paused_connections, self.stall_detector = (
+            PausedConnections(self.memory.resume_waiting),
+            StallDetector(),
+        )
         self._shutdown: Shutdown | None = None
         self._max_connections = max_connections
         self._listener: socket.socket | None = None
@@ -117,13 +122,10 @@
                 return True
         return False
 
-    def response_buffer_bytes(self, connection: HttpConnection) -> int:
-        """Register the connection as streaming, and return how many bytes may be buffered for its client."""
-        self.streaming.add(connection)
-        return max(
-            MIN_RESPONSE_BUFFER_BYTES,
-            min(WRITE_HIGH_WATER_BYTES, self._buffer_bytes // len(self.streaming)),
-        )
+    def response_buffer_bytes(self) -> int:
+        """How many bytes of a streamed response may be buffered for its client, with those that there are."""
+        share_bytes = self.memory.limit_bytes // STREAMS_SHARE // max(1, len(self.streaming))
+        return max(MIN_RESPONSE_BUFFER_BYTES, min(WRITE_HIGH_WATER_BYTES, share_bytes))
 
     async def sweep(self) -> None:
         """Enforce the timeouts of all connections periodically. A client may stay connected without sending a
--- a/anisespool/front/server_interface.py
+++ b/anisespool/front/server_interface.py
@@ -7,6 +7,7 @@
 from anisespool.config import NameIndex
 from anisespool.front.client_reader import PausedConnections
 from anisespool.front.stall_detector import StallDetector
+from anisespool.memory_budget import MemoryBudget
 from anisespool.sidecar import Sidecar
 from shuntlead import Settings
 
@@ -24,6 +25,7 @@
     streaming: set[HttpConnection]
     paused_connections: PausedConnections
     stall_detector: StallDetector
+    memory: MemoryBudget
 
     @property
     def stopping(self) -> bool: ...
@@ -31,7 +33,7 @@
     @property
     def over_connection_limit(self) -> bool: ...
 
-    def response_buffer_bytes(self, connection: HttpConnection) -> int: ...
+    def response_buffer_bytes(self) -> int: ...
 
     def retry_after_s(self) -> float: ...
 
--- a/anisespool/front/timeouts.py
+++ b/anisespool/front/timeouts.py
@@ -25,14 +25,9 @@
         self._last_received_at = 0.0
         self._body_started_at = 0.0  # when the headers of the latest request were complete
         self._body_bytes = 0  # received since then
-        self._paused_at = 0.0  # when the upload was paused; 0: not paused
+        self._paused_at = 0.0  # when this process stopped reading; 0: it reads
         self._last_delivered_at = 0.0  # when the client last received response bytes, or was owed none
 
-    @property
-    def is_upload_paused(self) -> bool:
-        """The upload waits for its endpoint to accept more of the body."""
-        return self._paused_at > 0
-
     def data_received(self, now: float) -> None:
         self._last_received_at = now
 
@@ -46,12 +41,15 @@
     def count_bytes(self, nbytes: int) -> None:
         self._body_bytes += nbytes
 
-    def pause_upload(self) -> None:
-        self._paused_at = time.monotonic()
+    def pause(self) -> None:
+        """Reading is paused. The client can't send meanwhile, so the time doesn't count against it."""
+        self._paused_at = self._paused_at or time.monotonic()
 
-    def resume_upload(self) -> None:
-        if self._paused_at:  # the client could not send during the pause, so it doesn't count against it
-            self._body_started_at += time.monotonic() - self._paused_at
+    def resume(self) -> None:
+        if self._paused_at:
+            paused_s = time.monotonic() - self._paused_at
+            self._body_started_at += paused_s
+            self.waiting_since += paused_s
             self._paused_at = 0.0
 
     def answer_sent(self) -> None:
@@ -65,7 +63,7 @@
         return now > self._last_delivered_at + READ_STALL_TIMEOUT_S
 
     def is_request_late(self, now: float) -> bool:
-        return now > self.waiting_since + REQUEST_TIMEOUT_S
+        return not self._paused_at and now > self.waiting_since + REQUEST_TIMEOUT_S
 
     def is_body_late(self, now: float) -> bool:
         return (
--- a/anisespool/http1/request_parser.py
+++ b/anisespool/http1/request_parser.py
@@ -12,10 +12,13 @@
     MAX_BUFFERED_BODY_BYTES,
     MAX_HEAD_BYTES,
     MAX_STREAMED_BODY_BYTES,
+    REQUEST_HEADERS,
     PartialMessage,
     Request,
 )
 
+HEAD_READ_BYTES, CHUNKED_READ_BYTES = 4 * 1024, 16 * 1024  # of one read, see RequestParser.wanted_bytes
+
 # An httptools parser and its owner reference each other. Left to the garbage collector, these cycles would
 # pile up, one per request, with the data that they have read; so each parser is closed after use.
 
@@ -40,6 +43,7 @@
         self._pause, self._resume = pause, resume
         self._completed: list[Request] = []
         self._body_stream: BodyStream | None = None
+        self._unstreamed = bytearray()  # of the streamed body, in the bytes that are being parsed
         self._parser = httptools.HttpRequestParser(self)
         self.on_message_begin()
 
@@ -52,11 +56,27 @@
     def in_body(self) -> bool:
         return self._started and self._message.head_complete
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the incomplete request takes."""
+        streamed_bytes = self._body_stream.held_bytes if self._body_stream else 0
+        return self._message.held_bytes + streamed_bytes
+
+    @property
+    def wanted_bytes(self) -> int:
+        """How much to read at once. Many short requests take many times their length once they are parsed, so
+        what follows the body of the current one is left unread."""
+        if not self.in_body:
+            return HEAD_READ_BYTES
+        length = self._message.length()
+        return CHUNKED_READ_BYTES if length is None else max(1, length - self.body_bytes) + HEAD_READ_BYTES
+
     def feed(self, data: bytes | memoryview) -> list[Request]:
         """The requests that these bytes complete, including those that precede an error."""
         unparsed = memoryview(data)
         while unparsed and not self.error:
             unparsed = unparsed[self._parse(unparsed) :]
+        self._pass_on()
         if self.error and self._body_stream:
             self._body_stream.fail()
         completed, self._completed = self._completed, []
@@ -104,6 +124,10 @@
         lines = [request_line, *(b"%b: %b" % header for header in headers if header[0] != b"upgrade")]
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
+    def discard(self) -> None:
+        """Let go of what was received of an incomplete request."""
+        self._message, self._unstreamed = PartialMessage(REQUEST_HEADERS), bytearray()
+
     def close(self) -> None:
         """No more bytes will be fed."""
         del self._parser
@@ -111,7 +135,7 @@
             self._body_stream.fail()
 
     def on_message_begin(self) -> None:
-        self._target, self._message, self._started = b"", PartialMessage(), False
+        self._target, self._message, self._started = b"", PartialMessage(REQUEST_HEADERS), False
         self.body_bytes, self._body_stream = 0, None
 
     def on_url(self, url: bytes) -> None:
@@ -147,19 +171,23 @@
         if self.body_bytes > MAX_STREAMED_BODY_BYTES:
             self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         elif self._body_stream:
-            self._body_stream.feed(data)
+            self._unstreamed += data
         else:
-            self._message.body.append(data)
+            self._message.body += data
             if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
                 self._start_streaming(None)
 
     def _start_streaming(self, length: int | None) -> None:
         self._body_stream = BodyStream(length, self._pause, self._resume)
-        for data in self._message.body:
-            self._body_stream.feed(data)
-        self._message.body.clear()
+        self._unstreamed += self._message.take_body()
         self._completed.append(self._request(b"", self._body_stream))
 
+    def _pass_on(self) -> None:
+        """Pass on what was received of a streamed body, in one piece for all its chunks."""
+        if self._body_stream and self._unstreamed:
+            data, self._unstreamed = bytes(self._unstreamed), bytearray()
+            self._body_stream.feed(data)
+
     def _request(self, body: bytes, body_stream: BodyStream | None = None) -> Request:
         parser = self._parser
         method, keep_alive, version = (
@@ -175,13 +203,14 @@
         if self._parser.should_upgrade():
             return
         self._started = self.wants_continue = False
+        self._pass_on()
         body_stream, self._body_stream = self._body_stream, None
         if self.error:
             self._body_stream = body_stream  # `feed` calls its fail()
         elif body_stream:
             body_stream.end()
         else:
-            self._completed.append(self._request(b"".join(self._message.body)))
+            self._completed.append(self._request(self._message.take_body()))
 
 
 def _origin_form(target: bytes) -> bytes:
--- a/anisespool/http1/response_parser.py
+++ b/anisespool/http1/response_parser.py
@@ -34,6 +34,7 @@
         )
         self._parser = httptools.HttpResponseParser(self)
         self._message = PartialMessage()
+        self._unstreamed = bytearray()  # of the streamed body, in the bytes that are being parsed
 
     def feed(self, data: bytes | memoryview) -> Response | None:
         """Parse more bytes; returns the response once it is complete. Whatever exception the parser raises,
@@ -42,6 +43,7 @@
             self._parser.feed_data(data)
         except Exception:
             self.broken = self.broken or self.response is None
+        self._pass_on()
         if self.broken and self.body_stream:
             self.body_stream.fail()
         return None if self.broken else self.response
@@ -66,13 +68,24 @@
         """The declared Content-Length, or None."""
         return self._message.length()
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the response takes so far."""
+        streamed_bytes = self.body_stream.held_bytes if self.body_stream else 0
+        return self._message.held_bytes + streamed_bytes
+
+    def _pass_on(self) -> None:
+        """Pass on what was received of a streamed body, in one piece for all its chunks."""
+        if self.body_stream and self._unstreamed:
+            data, self._unstreamed = bytes(self._unstreamed), bytearray()
+            self.body_stream.feed(data)
+
     def start_streaming(self) -> None:
         """Stop buffering the body, and pass on what has been received, whatever its length."""
         if self._open_body_stream and self.body_stream is None and self.response is None:
             self.body_stream = self._open_body_stream()
-            for data in self._message.body:
-                self.body_stream.feed(data)
-            self._message.body.clear()
+            self._unstreamed += self._message.take_body()
+            self._pass_on()
 
     def on_message_begin(self) -> None:
         if self.response is not None:  # unexpected bytes after the end of the response
@@ -94,9 +107,9 @@
         elif self.response is None and not self.broken:
             self._message.body_bytes += len(data)
             if self.body_stream:
-                self.body_stream.feed(data)
+                self._unstreamed += data
                 return
-            self._message.body.append(data)
+            self._message.body += data
             if max(self._message.body_bytes, self._message.length() or 0) > MAX_BUFFERED_BODY_BYTES:
                 if self.status == HTTPStatus.OK:
                     self.start_streaming()
@@ -109,6 +122,7 @@
             self._complete(self._parser.should_keep_alive())
 
     def _complete(self, keep_alive: bool) -> None:
-        self.response = Response(self.status, self._message.headers, b"".join(self._message.body), keep_alive)
+        self.response = Response(self.status, self._message.headers, self._message.take_body(), keep_alive)
+        self._pass_on()
         if self.body_stream:
             self.body_stream.end()
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -21,6 +21,7 @@
 from anisespool.limits import connection_limits, log_resources
 from anisespool.log import log_info
 from anisespool.maintenance import Maintenance
+from anisespool.memory_budget import MemoryBudget
 from anisespool.sidecar import Sidecar
 from anisespool.sockets import callback_failed
 from anisespool.state.clock import restore_clock, save_clock
@@ -33,7 +34,7 @@
 from anisespool.waiting import wait_for_any
 from shuntlead.interface import Effect, ListForm
 
-BUFFERS_DIVISOR = 8  # one part in eight of the memory limit buffers long bodies
+MEMORY_SHARE = 4  # one part in so many of the memory limit is for requests and responses
 CANCEL_TIMEOUT_S = 0.2  # for cancelled tasks to end
 LIST_WAIT_S = 3.0  # for discovery's first list in an upgrade: the new process must be ready within 6 s
 PUSHED_LIST_WAIT_S = 1.0  # for the discovery agent's list: the process must use it from its start
@@ -45,9 +46,9 @@
 
     def __init__(self, config: Config) -> None:
         settings, (clients, servers) = config.settings, connection_limits(config, False)
-        self._config = config
+        self._config, self._memory = config, MemoryBudget(config.memory_bytes // MEMORY_SHARE)
         self._endpoints = Endpoints(
-            settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers
+            settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers, self._memory
         )
         self._store = Store.attach(config.state_dir, config.name) if config.state_dir else None
         if self._store:  # first: all timestamps below use this clock
@@ -62,8 +63,7 @@
         )
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
         self._admin_commands = AdminCommands(config, self._sidecar, self._maintenance)
-        buffers = config.memory_bytes // BUFFERS_DIVISOR
-        self._server = Server(self._sidecar, config.names, settings, clients, buffers)
+        self._server = Server(self._sidecar, config.names, settings, clients, self._memory)
         self._endpoints.make_room = self._server.make_room
         self._snapshot = ListSnapshot(self._store, config.known_members) if self._store else None
         external = self._sidecar.external
@@ -197,6 +197,7 @@
         """Divide the limits between the processes of an upgrade, or give them all to the one that remains."""
         log_info("upgrade", "two processes share the limits" if has_other else "one process")
         clients, servers = connection_limits(self._config, has_other)
+        self._memory.limit_bytes = self._config.memory_bytes // MEMORY_SHARE // (2 if has_other else 1)
         if self._upgrade_rates:
             self._upgrade_rates.has_other_process = has_other
         self._server.set_connection_limit(clients)
--- /dev/null
+++ b/tests/memory_crowd.py
@@ -0,0 +1,258 @@
+"""Crowds of clients that make a sidecar process hold as much as they can, and the memory that it takes.
+
+By hand: `python -m tests.memory_crowd KIND CLIENTS MEMORY_MB SOCKETS`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import monotonic
+
+from anisespool.config import Address
+from tests.net import OK, Endpoint, Peer, Streams, free_port, member, raw_call, read_response, write_config
+from tests.planned_end import classes_with
+from tests.test_program import start
+
+LEFT_MS = 5000
+BODY_BYTES = 64_000
+SHORT_FIELD = b"%x:\r\n"
+POLL_S = 0.01
+LONG_ANSWER_BYTES = 4 << 20
+
+
+class SlowEndpoint(Endpoint):
+    """Takes a second for each request, and gives a long answer to each `look`."""
+
+    def __init__(self) -> None:
+        super().__init__(self._respond)
+
+    async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.requests[-1].method != b"GET":
+            await asyncio.sleep(1.0)
+            writer.write(OK)
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_ANSWER_BYTES)
+        for _ in range(LONG_ANSWER_BYTES >> 16):
+            writer.write(b"x" * 65536)
+            await writer.drain()
+
+
+class SlowAnswerEndpoint(Endpoint):
+    """Gives all but the last byte of an answer that is short enough to be buffered, and then waits."""
+
+    def __init__(self) -> None:
+        super().__init__(self._respond)
+
+    async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 65000\r\n\r\n" + b"x" * 64_999)
+        await asyncio.sleep(2.0)
+        writer.write(b"x")
+
+
+class HungEndpoint(Peer):
+    """Accepts connections and reads nothing."""
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.append((reader, writer))
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+
+@dataclass
+class Crowd:
+    """What the clients of one crowd have seen."""
+
+    address: Address
+    results: Counter[str] = field(default_factory=Counter)
+
+    async def run(self, number: int, client: Client) -> None:
+        try:
+            async with asyncio.timeout(12):
+                reader, writer = await asyncio.open_connection(*self.address)
+                try:
+                    self.results[await client(number, (reader, writer))] += 1
+                finally:
+                    writer.transport.abort()
+        except (OSError, EOFError, TimeoutError) as error:
+            self.results[type(error).__name__] += 1
+
+
+Client = Callable[[int, Streams], Awaitable[str]]
+
+
+def upload(number: int, body_bytes: int, left_ms: int = LEFT_MS) -> bytes:
+    return raw_call("once", f"t{number}", left_ms, b"x" * body_bytes)
+
+
+async def small_chunks(number: int, streams: Streams) -> str:
+    """A body of 64,000 bytes in chunks of two bytes, written over a second."""
+    reader, writer = streams
+    head = raw_call("once", f"t{number}", LEFT_MS).replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    writer.write(head)
+    for _ in range(20):
+        writer.write(b"2\r\nxx\r\n" * (BODY_BYTES // 40))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+    writer.write(b"0\r\n\r\n")
+    return str((await read_response(reader)).status)
+
+
+async def slow_bodies(number: int, streams: Streams) -> str:
+    """A body of 64,000 bytes, written over a second."""
+    reader, writer = streams
+    data = upload(number, BODY_BYTES)
+    for n in range(20):
+        writer.write(data[n * len(data) // 20 : (n + 1) * len(data) // 20])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+    return str((await read_response(reader)).status)
+
+
+async def half_uploads(number: int, streams: Streams) -> str:
+    """The first half of a body of 2 MB, and no more."""
+    reader, writer = streams
+    data = upload(number, 2 << 20)
+    writer.write(data[: len(data) // 2])
+    return str((await read_response(reader)).status)
+
+
+async def half_bodies(number: int, streams: Streams) -> str:
+    """All but the last byte of a body that is buffered."""
+    reader, writer = streams
+    writer.write(upload(number, BODY_BYTES)[:-1])
+    return str((await read_response(reader)).status)
+
+
+async def short_fields(number: int, streams: Streams) -> str:
+    """A head of thousands of short fields, and no end of it."""
+    reader, writer = streams
+    writer.write(raw_call("look", f"t{number}")[:-2])
+    for n in range(0, 2400, 100):
+        writer.write(b"".join(SHORT_FIELD % (m + 4096) for m in range(n, n + 100)))
+        await asyncio.sleep(0.02)
+    return str((await read_response(reader)).status)
+
+
+async def repeated_fields(number: int, streams: Streams) -> str:
+    """A head that repeats a field which is kept."""
+    reader, writer = streams
+    writer.write(raw_call("look", f"t{number}")[:-2])
+    for _ in range(12):
+        writer.write(b"X-Trace-Id:\r\n" * 100)
+        await asyncio.sleep(0.02)
+    return str((await read_response(reader)).status)
+
+
+async def slow_readers(number: int, streams: Streams) -> str:
+    """A long answer, read at 64 kB a second for some seconds."""
+    reader, writer = streams
+    writer.write(raw_call("look", f"t{number}", LEFT_MS))
+    for _ in range(40):
+        await reader.read(8192)
+        await asyncio.sleep(0.1)
+    return "read"
+
+
+async def short_readers(number: int, streams: Streams) -> str:
+    """Answers that are short enough to be buffered."""
+    reader, writer = streams
+    writer.write(raw_call("look", f"t{number}", LEFT_MS))
+    return str((await read_response(reader)).status)
+
+
+async def long_pipelines(number: int, streams: Streams) -> str:
+    """Twelve requests of 60,000 bytes at once."""
+    reader, writer = streams
+    for n in range(12):
+        writer.write(upload(number * 100 + n, 60_000))
+    return str((await read_response(reader)).status)
+
+
+async def short_pipelines(number: int, streams: Streams) -> str:
+    """A thousand requests without a body at once."""
+    reader, writer = streams
+    writer.write(b"".join(raw_call("once", f"t{number}-{n}", LEFT_MS) for n in range(1000)))
+    return str((await read_response(reader)).status)
+
+
+KINDS: dict[str, tuple[Client, Callable[[], Peer]]] = {
+    "small_chunks": (small_chunks, SlowEndpoint),
+    "slow_bodies": (slow_bodies, SlowEndpoint),
+    "half_uploads": (half_uploads, Endpoint),
+    "hung_uploads": (half_uploads, HungEndpoint),
+    "half_bodies": (half_bodies, Endpoint),
+    "short_fields": (short_fields, Endpoint),
+    "repeated_fields": (repeated_fields, Endpoint),
+    "slow_readers": (slow_readers, SlowEndpoint),
+    "short_readers": (short_readers, SlowAnswerEndpoint),
+    "long_pipelines": (long_pipelines, SlowEndpoint),
+    "short_pipelines": (short_pipelines, SlowEndpoint),
+}
+
+
+def held_mb(pid: int) -> float:
+    """What the process holds, without the files that it has mapped, in MB."""
+    rows = dict(line.split(":", 1) for line in Path(f"/proc/{pid}/status").read_text().splitlines())
+    return (int(rows["RssAnon"].split()[0]) + int(rows["RssShmem"].split()[0])) / 1000
+
+
+@dataclass
+class Figures:
+    """The result of one crowd: memory in MB, and the number of clients by what they got."""
+
+    at_rest_mb: float
+    peak_mb: float
+    results: Counter[str]
+
+
+async def play(folder: Path, kind: str, clients: int, memory_mb: int, sockets: int) -> Figures:
+    """Start a sidecar with these limits, and let a crowd of this kind at it."""
+    client, make_endpoint = KINDS[kind]
+    endpoints = [make_endpoint() for _ in range(4)]
+    serving = [endpoint.serve() for endpoint in endpoints]
+    for each in serving:
+        await each.__aenter__()
+    listen = f"127.0.0.1:{free_port()}"
+    rows = [member(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
+    env = write_config(folder, Address("127.0.0.1", 1), rows, listen, request_classes=classes_with(5.0, 4.0))
+    path = Path(env["LB_CONFIG"])
+    raw = json.loads(path.read_text()) | {"limits": {"sockets": sockets, "memory_mb": memory_mb}}
+    path.write_text(json.dumps(raw))
+    process = await start(env)
+    crowd = Crowd(Address.parse(listen))
+    await asyncio.sleep(0.5)
+    figures = Figures(held_mb(process.pid), 0.0, crowd.results)
+    running = asyncio.gather(*(crowd.run(n, client) for n in range(clients)))
+    until_s = monotonic() + 15
+    while not running.done() and monotonic() < until_s:
+        with suppress(KeyError, OSError):
+            figures.peak_mb = max(figures.peak_mb, held_mb(process.pid))
+        await asyncio.sleep(POLL_S)
+    running.cancel()
+    process.kill()
+    await process.wait()
+    for each in serving:
+        await each.__aexit__(None, None, None)
+    return figures
+
+
+def main() -> None:
+    kinds = KINDS if sys.argv[1] == "all" else [sys.argv[1]]
+    for kind in kinds:
+        with tempfile.TemporaryDirectory() as folder:
+            figures = asyncio.run(play(Path(folder), kind, *map(int, sys.argv[2:5])))
+        print(f"{kind}: {figures.at_rest_mb:.1f} MB at rest, {figures.peak_mb:.1f} MB at most; "
+              f"{dict(figures.results)}", flush=True)  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_short_io.py
+++ b/tests/test_short_io.py
@@ -140,7 +140,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async with Endpoint().serve() as endpoint, harness(tmp_path, endpoint) as it:
-        failing = FailingCall(monkeypatch, "send", errno.EPIPE, 1, is_connected_to(endpoint.address), after=3)
+        failing = FailingCall(monkeypatch, "send", errno.EPIPE, 1, is_connected_to(endpoint.address), after=1)
         reader, writer = await asyncio.open_connection(*it.address)
         writer.write(post(chunked(LONG_BODY, 20), b"Transfer-Encoding: chunked"))
         assert (await read_response(reader)).status == 503  # none of it is buffered for a retry
