Answer requests in time wherever they wait: at a server that reads nothing, or queued

Cause: from the first byte of a long body on there was no time limit until its last byte was read; but reading pauses where the server takes nothing, so only the 10 s of a stalled body ended it. A long body that arrived behind other requests got its whole time at its turn, and a request behind a hung one had the time of that one. Change: while an upload waits for its server, the kernel tells what has arrived; the client's time runs from the last byte, or from the last movement where more may come.

--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -21,6 +21,8 @@
     @property
     def has_unsent_data(self) -> bool: ...
 
+    def upload_moved_ns(self) -> int: ...
+
     def close_idle_if_silent(self, since_ns: int) -> None: ...
 
     def discard(self) -> None: ...
@@ -75,16 +77,40 @@
             self._arm()
 
     def upload_started(self) -> None:
-        """Suspends the deadline: the time for the response starts with the last byte of the body."""
+        """Suspends the deadline: the time for the response starts when the last byte has arrived."""
         self._timer.cancel()
         self.deadline_ns -= time.monotonic_ns()  # the remaining time, until the upload has finished
         self.started_ns = 0
         self.on_upload(self)
 
+    @property
+    def is_uploading(self) -> bool:
+        return self.status is None and not self.started_ns
+
+    def upload_waits_since_ns(self) -> int:
+        """Since when neither the client has sent more of the body nor the endpoint has taken more of it; once
+        the body has arrived whole, since its last byte. The client's time runs from then: for all that is
+        known, the last byte is on its way. Monotonic."""
+        body_stream = self.request.body_stream
+        assert body_stream
+        if body_stream.has_arrived or self.connection is None:
+            return body_stream.last_arrived_ns
+        return max(body_stream.last_arrived_ns, self.connection.upload_moved_ns())
+
+    def limit_upload(self, since_ns: int | None) -> None:
+        """Resumes the deadline during the upload, with the time of the client running from `since_ns`
+        (monotonic). None: suspends it again."""
+        self._timer.cancel()
+        if since_ns is not None and not self.body_stream:
+            due_s = (since_ns + self.deadline_ns) / 1e9
+            self._timer = asyncio.get_running_loop().call_at(due_s, self.abort, Status.TIMEOUT)
+
     def upload_finished(self) -> None:
         """Resumes the deadline, with the time that was left when the upload started."""
+        assert self.request.body_stream
+        self._timer.cancel()
         self.started_ns = time.monotonic_ns()
-        self.deadline_ns += self.started_ns
+        self.deadline_ns += self.request.body_stream.last_arrived_ns or self.started_ns
         if self._end_ns is not None:
             self.deadline_ns = min(self.deadline_ns, self._end_ns)
         if not self.body_stream:  # no deadline if the response began before the upload had finished
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -125,6 +125,12 @@
         if self._attempt:
             self._attempt.abort(Status.TIMEOUT)
 
+    def upload_moved_ns(self) -> int:
+        """When the endpoint last took any of the request, or sent anything (monotonic)."""
+        if self._sender.has_moved():
+            self._record_progress()
+        return self._progress_ns
+
     def close_idle_if_silent(self, since_ns: int) -> None:
         """Closes the idle connections if the endpoint has sent nothing since `since_ns`. A failed host leaves
         them open: a request written to one ends in a timeout, or in a reset once the host is back, and if
--- a/anisespool/exchange.py
+++ b/anisespool/exchange.py
@@ -91,7 +91,27 @@
 
     def start_deadline_timer(self) -> None:
         """Start the client's time limit for the request now."""
-        due_ns = time.monotonic_ns() + self.call.left_ns
+        self._start_deadline_timer_at(time.monotonic_ns())
+
+    def restart_deadline_timer(self) -> None:
+        """The upload of the body has finished: start the time limit at the arrival of its last byte."""
+        assert self.call.request.body_stream
+        self._start_deadline_timer_at(self.call.request.body_stream.last_arrived_ns or time.monotonic_ns())
+
+    def limit_upload(self, is_waiting: bool) -> None:
+        """Start the time limit although the upload has not finished, as the body waits for its endpoint.
+        False: it does not wait any more; suspend the limit."""
+        upload = next((attempt for attempt in self.attempts if attempt.is_uploading), None)
+        if upload is None:
+            return
+        since_ns = upload.upload_waits_since_ns() if is_waiting else None
+        self.cancel_deadline_timer()
+        upload.limit_upload(since_ns)
+        if since_ns is not None and self.reply:
+            self._start_deadline_timer_at(since_ns)
+
+    def _start_deadline_timer_at(self, started_ns: int) -> None:
+        due_ns = started_ns + self.call.left_ns
         if self._end_ns is not None:
             due_ns = min(due_ns, self._end_ns)
         self._schedule_deadline_timer(due_ns)
--- a/anisespool/front/arrival_times.py
+++ b/anisespool/front/arrival_times.py
@@ -16,13 +16,18 @@
     """Samples of how many bytes had arrived at which time, from which the age of a read is derived."""
 
     def __init__(self) -> None:
-        self._bytes_read = 0
+        self._bytes_read = self._bytes_received = 0
+        self.last_arrived_ns = (
+            0  # by when all that has arrived so far was here; late by the interval of samples
+        )
         # Samples of data not yet read in full: total bytes received by a point in time, and that time
         self._samples: deque[tuple[int, int]] = deque()
 
     def record_unread(self, unread: int, now_ns: int) -> None:
         """Record that `unread` bytes now wait in the kernel."""
         bytes_received = self._bytes_read + unread
+        if bytes_received > self._bytes_received:
+            self._bytes_received, self.last_arrived_ns = bytes_received, now_ns
         if unread and (not self._samples or bytes_received > self._samples[-1][0]):
             self._samples.append((bytes_received, now_ns))
 
@@ -31,6 +36,8 @@
         arrived. `last_arrived_ns`: the latest time at which the last of them can have arrived."""
         arrived_ns = self._samples[0][1] if self._samples else now_ns
         self._bytes_read += nbytes
+        if self._bytes_read > self._bytes_received:
+            self._bytes_received, self.last_arrived_ns = self._bytes_read, min(now_ns, last_arrived_ns)
         while self._samples and self._samples[0][0] <= self._bytes_read:
             self._samples.popleft()
         return min(arrived_ns, last_arrived_ns) if last_arrived_ns < now_ns - MIN_WAIT_NS else arrived_ns
--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -123,6 +123,11 @@
         elif not self._queue:
             self._on_memory()
 
+    def _refuse_requests(self) -> None:
+        """Refuse all requests that are queued or still unread, and close the connection behind the last."""
+        self._refuses_requests = True
+        self._process_queue()
+
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if its client has taken too long to send a request or to read a response."""
         if not self._transport or self._transport.is_closing() and not self._writer.unsent_bytes:
--- a/anisespool/front/client_reader.py
+++ b/anisespool/front/client_reader.py
@@ -98,9 +98,12 @@
 
     def record_unread(self) -> None:
         """Record how many bytes have arrived and wait to be read."""
-        if self._transport and not self._transport.is_closing():
-            waiting_bytes = unread_bytes(self._transport.get_extra_info("socket").fileno())
-            self._arrival_times.record_unread(waiting_bytes, time.monotonic_ns())
+        self._arrival_times.record_unread(self._unread_bytes(), time.monotonic_ns())
+
+    def _unread_bytes(self) -> int:
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return unread_bytes(self._transport.get_extra_info("socket").fileno())
 
     def _arrival_ns(self, now_ns: int, nbytes: int) -> int:
         """When the bytes that are read now arrived.
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -57,6 +57,7 @@
         self._writer.release()
         self._parser.close()
         self._release_memory()
+        self._queue.stop_timer()
 
     def _on_client_gone(self) -> None:
         """The client has disconnected: start nothing more for it, and cancel what is in progress."""
@@ -83,6 +84,10 @@
         body_stream = self._request.body_stream if self._busy and self._request else None
         return body_stream is not None and not body_stream.done
 
+    def _limit_upload(self, is_waiting: bool) -> None:
+        if self._uploading and self._request_id:
+            self._server.sidecar.limit_upload(self._request_id, is_waiting)
+
     def _abort_upload(self, status: HTTPStatus) -> None:
         """The rest of the body is invalid or late. The endpoint has only received an incomplete request."""
         request_id, self._request_id = self._request_id, 0
@@ -95,6 +100,8 @@
         if self._uploading and self._parser.error:
             self._abort_upload(HTTPStatus(self._parser.error))
         self._process_queue()
+        if self._busy:
+            self._queue.start_timer(self._give_up_current_request)
 
     def _held_besides_queue(self) -> int:
         request_bytes = self._request.held_bytes if self._busy and self._request else 0
@@ -119,17 +126,20 @@
                 self._resume_reading(PauseReason.QUEUE)
             self._busy, self._request_id, self._request = True, 0, request
             self._process(received)
+            if self._busy:
+                self._queue.start_timer(self._give_up_current_request)
+
+    def _give_up_current_request(self) -> None:
+        """A request behind it has expired. Responses go out in order, so it has no more time than those."""
+        is_answering = self._writer.is_streaming or self._writer.client_stalled
+        if self._busy and self._request_id and self._queue and not is_answering:
+            self._server.sidecar.give_up(self._request_id)
 
     @property
     def _waits_for_client(self) -> bool:
         """Whether the client has to read its responses before there are more. Refusals are short."""
         return self._writer.client_stalled and not self._refuses_requests
 
-    def _refuse_requests(self) -> None:
-        """Refuse all requests that are queued or still unread, and close the connection behind the last."""
-        self._refuses_requests = True
-        self._process_queue()
-
     def _send_continue(self) -> None:
         if self._parser.wants_continue:
             self._parser.wants_continue = False
--- a/anisespool/front/request_decoding.py
+++ b/anisespool/front/request_decoding.py
@@ -33,6 +33,7 @@
     arrived_ns: int  # by when it had reached this machine
     read_ns: int  # when this process read it
     was_stalled: bool  # read after a stall of the process, or late in a long turn of the event loop
+    expires_ns: int  # when its client stops waiting for the answer
 
 
 def decode_received(received: ReceivedRequest, names: NameIndex, settings: Settings, now_ns: int) -> Call:
@@ -48,8 +49,11 @@
     is far behind then, and an attempt for each request that has nearly expired would take time from the
     requests after it.
     """
-    waited_ns = now_ns - received.arrived_ns
-    if waited_ns <= NEGLIGIBLE_WAIT_NS or call.request.body_stream:
+    body_stream = call.request.body_stream
+    if body_stream and not (body_stream.done or body_stream.has_arrived):
+        return call  # its time has not begun
+    waited_ns = now_ns - (body_stream.last_arrived_ns if body_stream else received.arrived_ns)
+    if waited_ns <= NEGLIGIBLE_WAIT_NS:
         return call
     if received.was_stalled and received.read_ns - received.arrived_ns > MAX_UNREAD_SHARE * call.left_ns:
         TELEMETRY.count("refused as read too late")
@@ -84,6 +88,17 @@
     )
 
 
+def time_left_ns(request: http1.Request, settings: Settings) -> int:
+    """How long the client waits for the answer, from when it sent the request: at most, if it is not said."""
+    try:
+        left_ms = _parse_number(request.headers, b"x-expires-in-ms")
+    except InvalidRequest:
+        left_ms = None
+    if left_ms is None:
+        return max(each.deadline_ns for each in settings.classes)
+    return min(left_ms, MAX_DEADLINE_MS) * 1_000_000
+
+
 def _parse_number(headers: dict[bytes, bytes], name: bytes) -> int | None:
     value = headers.get(name)
     if value is None:
--- a/anisespool/front/request_reader.py
+++ b/anisespool/front/request_reader.py
@@ -7,47 +7,18 @@
 from __future__ import annotations
 
 import time
-from collections import deque
 
 from anisespool import http1
-from anisespool.body_stream import read_buffer
+from anisespool.body_stream import BodyStream, read_buffer
 from anisespool.front.client_reader import ClientReader, PauseReason
-from anisespool.front.request_decoding import ReceivedRequest
+from anisespool.front.request_decoding import ReceivedRequest, time_left_ns
+from anisespool.front.request_queue import RequestQueue
 from anisespool.front.server_interface import ServerInterface
 from anisespool.memory_budget import Holding
 
-MAX_PIPELINED_REQUESTS = 8  # queued behind the current one before reading is paused
 MEMORY_WAIT_S = 0.5  # for other connections to let go of memory, before an incomplete request is refused
 
 
-class RequestQueue:
-    """The requests that were received and not handled yet, and the memory that they take."""
-
-    def __init__(self) -> None:
-        self._received: deque[ReceivedRequest] = deque()
-        self.held_bytes = 0
-
-    def __len__(self) -> int:
-        return len(self._received)
-
-    @property
-    def is_long(self) -> bool:
-        return len(self._received) > MAX_PIPELINED_REQUESTS
-
-    def append(self, received: ReceivedRequest) -> None:
-        self._received.append(received)
-        self.held_bytes += received.request.held_bytes
-
-    def popleft(self) -> ReceivedRequest:
-        received = self._received.popleft()
-        self.held_bytes -= received.request.held_bytes
-        return received
-
-    def clear(self) -> None:
-        self._received.clear()
-        self.held_bytes = 0
-
-
 class RequestReader(ClientReader):
     """Receives requests into a queue. Subclasses handle them."""
 
@@ -59,6 +30,7 @@
         self._closing = self._has_served = False
         self._holding = Holding(server.memory)
         self._waits_for_memory_since = 0.0  # monotonic seconds; 0: it does not wait
+        self._is_upload_limited = False
 
     def _handle_received(self) -> None:
         """Requests were queued, or the parser has found an error."""
@@ -68,6 +40,11 @@
         """The memory that the current request and its response take."""
         raise NotImplementedError
 
+    def _limit_upload(self, is_waiting: bool) -> None:
+        """The body that is being received waits for its endpoint, or (False) all that has arrived was passed
+        on, so that there is no time limit until more arrives."""
+        raise NotImplementedError
+
     def get_buffer(self, sizehint: int) -> memoryview:
         return read_buffer[: min(self._server.memory.read_bytes, self._parser.wanted_bytes)]
 
@@ -78,9 +55,11 @@
         self._timeouts.data_received(now_ns / 1e9)
         arrived_ns = self._arrival_ns(now_ns, nbytes)
         stalled = self._server.stall_detector.is_stalled(now_ns)
-        done = self._parser.feed(read_buffer[:nbytes])
-        for request in done:
-            self._queue.append(ReceivedRequest(request, arrived_ns, now_ns, stalled))
+        self._record_body_arrival(self._parser.body_stream)
+        for request in self._parser.feed(read_buffer[:nbytes]):
+            self._record_body_arrival(request.body_stream)
+            expires_ns = arrived_ns + time_left_ns(request, self._server.settings)
+            self._queue.append(ReceivedRequest(request, arrived_ns, now_ns, stalled, expires_ns))
         if self._parser.partial and not was_partial:
             self._timeouts.request_started(now_ns / 1e9, self._has_served)
         if self._parser.in_body and not was_in_body:
@@ -89,10 +68,31 @@
         if self._queue.is_long:
             self._pause_reading(PauseReason.QUEUE)
         self._handle_received()
+        if self._is_upload_limited:
+            self._renew_upload_limit()
         self._account()
         if self._server.memory.is_exhausted and not self._closing and (self._parser.partial or self._queue):
             self._wait_for_memory()
 
+    def _record_body_arrival(self, body_stream: BodyStream | None) -> None:
+        if body_stream and not body_stream.has_arrived:
+            body_stream.last_arrived_ns = self._arrival_times.last_arrived_ns
+
+    def record_unread(self) -> None:
+        super().record_unread()
+        body_stream, left_bytes = self._parser.body_stream, self._parser.body_left_bytes
+        if body_stream and PauseReason.UPLOAD in self._pause_reasons:
+            self._record_body_arrival(body_stream)
+            body_stream.has_arrived = left_bytes is not None and self._unread_bytes() >= left_bytes
+            self._renew_upload_limit()
+
+    def _renew_upload_limit(self) -> None:
+        """An upload has a time limit for as long as bytes of it wait for its endpoint. It moves with them."""
+        body_stream = self._parser.body_stream
+        self._is_upload_limited = body_stream is not None and (body_stream.paused or self._unread_bytes() > 0)
+        if body_stream:
+            self._limit_upload(self._is_upload_limited)
+
     def _account(self) -> None:
         """Report the memory that this connection takes."""
         self._holding.set(self._parser.held_bytes + self._queue.held_bytes + self._held_besides_queue())
--- a/anisespool/http1/request_parser.py
+++ b/anisespool/http1/request_parser.py
@@ -56,6 +56,17 @@
     def in_body(self) -> bool:
         return self._started and self._message.head_complete
 
+    @property
+    def body_stream(self) -> BodyStream | None:
+        """The body that is being received, if it is streamed."""
+        return self._body_stream
+
+    @property
+    def body_left_bytes(self) -> int | None:
+        """How much of the body is still to come; None: its length is not known."""
+        length = self._message.length()
+        return None if length is None else length - self.body_bytes
+
     @property
     def held_bytes(self) -> int:
         """The memory that the incomplete request takes."""
@@ -68,8 +79,8 @@
         what follows the body of the current one is left unread."""
         if not self.in_body:
             return HEAD_READ_BYTES
-        length = self._message.length()
-        return CHUNKED_READ_BYTES if length is None else max(1, length - self.body_bytes) + HEAD_READ_BYTES
+        left_bytes = self.body_left_bytes
+        return CHUNKED_READ_BYTES if left_bytes is None else max(0, left_bytes) + HEAD_READ_BYTES
 
     def feed(self, data: bytes | memoryview) -> list[Request]:
         """The requests that these bytes complete, including those that precede an error."""
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -91,6 +91,17 @@
             self._handle(api.ClientGone(request_id))
             self._exchanges.abandon(request_id)
 
+    def limit_upload(self, request_id: int, is_waiting: bool) -> None:
+        """The body of a request that is being uploaded waits for its endpoint, so its client's time may run;
+        to be called again while it waits. False: all that has arrived was passed on, so no time runs."""
+        exchange = self._exchanges.get(request_id)
+        if exchange and exchange.reply:
+            exchange.limit_upload(is_waiting)
+
+    def give_up(self, request_id: int) -> None:
+        """Answer the request now, whatever time it has left."""
+        self._on_deadline(request_id, "as requests behind it have expired")
+
     def answer_by(self, end_ns: int) -> None:
         """The process is shutting down: answer all requests, also later ones, by `end_ns`, monotonic."""
         self._end_ns = end_ns
@@ -136,11 +147,11 @@
 
     def _on_body_progress(self, attempt: Attempt) -> None:
         """The first or the last bytes of a long request body were sent. A body partly sent cannot be sent
-        again. The request's time limit starts only with the last byte."""
+        again. The request's time limit starts with the arrival of the last byte, see `limit_upload`."""
         exchange = self._exchanges[attempt.request_id]
         exchange.cancel_deadline_timer()
         if attempt.started_ns and exchange.reply:
-            exchange.start_deadline_timer()
+            exchange.restart_deadline_timer()
         self._handle(api.BodyProgress(attempt.request_id, attempt.number, attempt.started_ns > 0))
 
     def _on_response_start(self, attempt: Attempt) -> None:
@@ -204,12 +215,11 @@
 
     # Answers without a decision -------------------------------------------------------------------
 
-    def _on_deadline(self, request_id: int) -> None:
-        """The decision module has not decided in time: answer 504, which does not say whether the request
-        has run."""
+    def _on_deadline(self, request_id: int, why: str = "as the module made no decision in time") -> None:
+        """No time is left for a decision: answer 504, which does not say whether the request has run."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.reply:
-            self._log_request(exchange, "answered 504, as the module made no decision in time")
+            self._log_request(exchange, f"answered 504, {why}")
             exchange.answer(Answer(504, b"no answer in time\n"))
             self._handle(api.ClientGone(request_id))
             self._exchanges.abandon(request_id)
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -10,7 +10,7 @@
 import pytest
 
 from anisespool.exchange import Answer, Call
-from anisespool.front.request_reader import MAX_PIPELINED_REQUESTS
+from anisespool.front.request_queue import MAX_PIPELINED_REQUESTS
 from anisespool.sidecar import Sidecar
 from tests.net import Endpoint, harness, held_until, raw_call, until
 
