Throw away what the kernel holds of a request whose attempt is given up

Cause: an attempt is given up by a close of its connection, behind which the kernel delivers what it still holds. Change: a connection that is given up with bytes unacknowledged is reset, so that the kernel discards them.

--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -14,6 +14,7 @@
 from anisespool.endpoints.request_sender import RequestSender
 from anisespool.memory_budget import Holding, MemoryBudget
 from anisespool.socket_state import has_events
+from anisespool.sockets import reset
 from shuntlead.interface import Status
 
 BUFFER_TIMEOUT_S = 0.05  # a response of unknown length is streamed after that; until then it can be retried
@@ -230,9 +231,12 @@
         self._account()
 
     def discard(self) -> None:
-        """Closes without flushing, so that no more of an aborted request is sent."""
+        """Closes without flushing, so that no more of an aborted request is sent, by the kernel neither."""
         self._detach_attempt()
         self._unregister()
         if self._transport:
-            self._transport.abort()
+            if self._sender.undelivered_bytes:
+                reset(self._transport)
+            else:
+                self._transport.abort()
         self._holding.set(0)
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable
 
 from anisespool import http1
 from anisespool.body_stream import BodyStream
 from anisespool.outgoing import Outgoing
-from anisespool.sockets import end_output, set_option
+from anisespool.sockets import end_output, reset, set_option
 
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # buffered for one client before its source is paused
 LINGER_TIMEOUT_S = 1.0  # for the client to read the last response before the connection is aborted
@@ -120,5 +119,4 @@
         """Reset the connection (RST). The client would take an orderly close for the end of a body that has
         no declared length."""
         if self.transport:
-            set_option(self.transport, socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self.transport.abort()
+            reset(self.transport)
--- a/anisespool/sockets.py
+++ b/anisespool/sockets.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from contextlib import suppress
 from typing import Any
 
@@ -24,6 +26,13 @@
         transport.get_extra_info("socket").setsockopt(level, option, value)
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Close the connection at once with RST. The kernel discards what it still holds of it, whereas an
+    ordinary close delivers that, and an orderly end behind it."""
+    set_option(transport, socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
+
+
 def callback_failed(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """Exception handler of the event loop. A system call that fails in one of the loop's own callbacks, such
     as a delayed shutdown(2), is logged on one line. Anything else is a bug, and gets the default
