Refuse an id that may have run, also at the other process of an upgrade

Cause: nothing remembered an id once its request was over, in this process or the other. The processes of an upgrade share a file that they append to before they send and read before they accept.

--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -12,7 +12,7 @@
 from anisespool import http1
 from anisespool.body_stream import BodyStream
 from anisespool.telemetry import TELEMETRY
-from shuntlead.interface import Status
+from shuntlead.interface import NEVER_RAN, Status
 
 
 class AttemptConnection(Protocol):
@@ -37,8 +37,9 @@
     are in monotonic nanoseconds."""
 
     __slots__ = ("_end_ns", "_timer", "connection", "counts", "deadline_ns", "endpoint", "body_stream",
-                 "load", "may_start", "number", "on_upload", "on_end", "on_response_start", "request",
-                 "request_id", "response", "response_started_ns", "started_ns", "status")  # fmt: skip
+                 "is_unsent", "load", "may_start", "number", "on_upload", "on_end", "on_response_start",
+                 "request", "request_id", "response", "response_started_ns", "started_ns",
+                 "status")  # fmt: skip
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
                  on_end: Callable[[Attempt], None], on_response_start: Callable[[Attempt], None] = _ignore,
@@ -52,6 +53,7 @@
         self.request_id, self.number, self.endpoint = request_id, number, endpoint
         self.request, self.deadline_ns, self.on_end = request, deadline_ns, on_end
         self.on_response_start, self.on_upload, self.may_start = on_response_start, on_upload, may_start
+        self.is_unsent = False  # it was ended before the whole request had been written
         self.started_ns = time.monotonic_ns()  # after an upload, when its last byte was sent; 0 during it
         self.response_started_ns = 0  # when a streamed response began; 0: it has not
         self.body_stream: BodyStream | None = None  # the body of a streamed response
@@ -123,6 +125,11 @@
         self.response_started_ns, self.body_stream = time.monotonic_ns(), body_stream
         self.on_response_start(self)
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether the request has certainly not run, and will not, by this attempt."""
+        return self.status in NEVER_RAN or self.is_unsent
+
     @property
     def latency_ns(self) -> int:
         """Time until the response, or until the first bytes of a streamed one; 0 during an upload."""
@@ -153,4 +160,5 @@
         unsent = connection is None or connection.has_unsent_data
         if connection:
             connection.discard()
+        self.is_unsent = unsent
         self.end(Status.CONNECT_FAILED if unsent and status is Status.TIMEOUT else status)
--- a/anisespool/exchange.py
+++ b/anisespool/exchange.py
@@ -147,6 +147,11 @@
 class Exchanges(dict[int, Exchange]):
     """The open exchanges, by request id."""
 
+    def __init__(self, on_end: Callable[[Exchange], None]) -> None:
+        """`on_end`: called with each exchange that is over."""
+        super().__init__()
+        self._on_end = on_end
+
     def unanswered(self) -> list[int]:
         """The requests that are received completely and not answered yet."""
         return [number for number, exchange in self.items() if exchange.reply and exchange.is_fully_received]
@@ -163,6 +168,7 @@
         exchange = self.get(request_id)
         if exchange and exchange.reply is None and all(a.status is not None for a in exchange.attempts):
             del self[request_id]
+            self._on_end(exchange)
 
     def abandon(self, request_id: int) -> None:
         """Cancel all attempts: nobody waits for the answer, whatever the decision module would do."""
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -28,6 +28,7 @@
 from anisespool.state.learned_state import LearnedState
 from anisespool.state.list_snapshot import Entry, ListSnapshot
 from anisespool.state.peer_lists import WarmStart
+from anisespool.state.shared_ids import SharedIds
 from anisespool.state.store import Store
 from anisespool.supervision import supervise
 from anisespool.upgrade_locks import UpgradeLocks
@@ -61,7 +62,9 @@
         self._maintenance = Maintenance(
             self._store, self._upgrade_locks, lambda servers: self._admin_commands.on_orders(servers), legacy
         )
-        self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders)
+        shared_folder = config.shared_dir or config.state_dir
+        shared_ids = SharedIds(shared_folder, config.name) if shared_folder else None
+        self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders, shared_ids)
         self._admin_commands = AdminCommands(config, self._sidecar, self._maintenance)
         self._server = Server(self._sidecar, config.names, settings, clients, self._memory)
         self._endpoints.make_room = self._server.make_room
@@ -200,6 +203,7 @@
         self._memory.limit_bytes = self._config.memory_bytes // MEMORY_SHARE // (2 if has_other else 1)
         if self._upgrade_rates:
             self._upgrade_rates.has_other_process = has_other
+        self._sidecar.attempted_ids.on_process_count_change(has_other)
         self._server.set_connection_limit(clients)
         self._endpoints.limit(servers)
 
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Mapping
 
+from anisespool.attempted_ids import AttemptedIds
 from anisespool.clock import CLOCK
 from anisespool.config import Config
 from anisespool.decision_queue import DecisionQueue
@@ -18,6 +19,7 @@
 from anisespool.peers import Peers
 from anisespool.servers import Servers
 from anisespool.state.records import Order
+from anisespool.state.shared_ids import SharedIds
 from anisespool.telemetry import TELEMETRY
 from shuntlead import Balancer
 from shuntlead import interface as api
@@ -28,16 +30,19 @@
     """Connects the decision module with clients, endpoints, discovery and peers."""
 
     def __init__(
-        self, config: Config, endpoints: Endpoints, orders: Mapping[str, Order] | None = None
-    ) -> None:
-        """`orders`: the operator orders by server id, kept up to date by the owner."""
+        self, config: Config, endpoints: Endpoints, orders: Mapping[str, Order] | None = None,
+        shared_ids: SharedIds | None = None,
+    ) -> None:  # fmt: skip
+        """`orders`: the operator orders by server id, kept up to date by the owner. `shared_ids`: see
+        AttemptedIds."""
         fleet_size = config.settings.fleet_size
         servers = Servers({} if orders is None else orders, CLOCK.epoch_ns, CLOCK, fleet_size)
         decision_queue = DecisionQueue(
             Balancer(config.settings, config.seed), self._on_handled, self._on_module_error
         )
         super().__init__(servers, decision_queue, endpoints)
-        self._exchanges = Exchanges()
+        self.attempted_ids = AttemptedIds(config.settings, shared_ids)
+        self._exchanges = Exchanges(self.attempted_ids.on_end)
         self._next_request = 0
         self._end_ns: int | None = None  # monotonic: deadline for all answers, once shutdown begins
         self.external = ExternalState(self.servers, self._handle, self.refresh)
@@ -68,6 +73,9 @@
         whether the client has disconnected, even if `on_client_gone` has not been called yet."""
         self._next_request += 1
         request_id, now = self._next_request, time.monotonic_ns()
+        if self.attempted_ids.has_run(call):
+            reply(Answer(409, b"a request with this id may have run\n"))
+            return request_id
         self._read_discovery(now)
         left_ns = max(0, call.left_ns - ANSWER_RESERVE_NS)
         exchange = Exchange(call, now + left_ns, reply, is_gone, lambda: self._on_deadline(request_id))
@@ -135,6 +143,7 @@
         exchange.attempts.append(attempt)
         exchange.limit_attempt(attempt)
         if self._may_start(attempt):
+            self.attempted_ids.on_send(exchange.call)
             self._endpoints.send(attempt)
 
     def _may_start(self, attempt: Attempt) -> bool:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -127,7 +127,11 @@
 
     async with Endpoint(answer).serve() as endpoint, harness(tmp_path, endpoint) as it:
         replies = await asyncio.gather(
-            *(exchange(it.address, raw_call(cls, left_ms=1500)) for cls in ("once", "look") for _ in range(3))
+            *(
+                exchange(it.address, raw_call(cls, f"{cls}-{n}", 1500))
+                for cls in ("once", "look")
+                for n in range(3)
+            )
         )
         assert all(500 <= reply.status < 600 for reply in replies)
         endpoint.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
