Pass a long answer on that has begun by its deadline, in place of ending it

Cause: an answer was passed on from its first body bytes on, or 50 ms after a head without a length; if the deadline came between, the attempt was ended as timed out. Change: at the deadline an answer whose head has come, with 200 and over 64 KiB or no length, is streamed. Until then it can be tried elsewhere. The slow server of test_time_limits.py reads slower, so that it shows its fault on too.

--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -23,6 +23,8 @@
 
     def upload_moved_ns(self) -> int: ...
 
+    def pass_on_response(self) -> bool: ...
+
     def close_idle_if_silent(self, since_ns: int) -> None: ...
 
     def discard(self) -> None: ...
@@ -67,7 +69,12 @@
 
     def _arm(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(self.deadline_ns / 1e9, self.abort, Status.TIMEOUT)
+        self._timer = loop.call_at(self.deadline_ns / 1e9, self._on_deadline)
+
+    def _on_deadline(self) -> None:
+        """No time is left, unless a response that may be a long one has begun: it is passed on from here."""
+        if not (self.connection and self.connection.pass_on_response()):
+            self.abort(Status.TIMEOUT)
 
     def limit_deadline(self, end_ns: int) -> None:
         """Limits the deadline to `end_ns`, when the process exits. A streamed response that has begun has no
@@ -105,7 +112,7 @@
         self._timer.cancel()
         if since_ns is not None and not self.body_stream:
             due_s = (since_ns + self.deadline_ns) / 1e9
-            self._timer = asyncio.get_running_loop().call_at(due_s, self.abort, Status.TIMEOUT)
+            self._timer = asyncio.get_running_loop().call_at(due_s, self._on_deadline)
 
     def upload_finished(self) -> None:
         """Resumes the deadline, with the time that was left when the upload started."""
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -111,6 +111,13 @@
         if parser is self._parser and self._attempt:
             parser.start_streaming()
 
+    def pass_on_response(self) -> bool:
+        """Stream the response if its head has come and it may be too long to buffer, as only the beginning of
+        a long one has to be in time. Returns whether it is streamed."""
+        if self._parser and self._parser.may_be_long:
+            self._parser.start_streaming()
+        return self._parser is not None and self._parser.body_stream is not None
+
     def is_stalled(self, before_ns: int) -> bool:
         """Whether a streamed body has made no progress since `before_ns`. A response that is paused because
         the client does not read it is not stalled."""
--- a/anisespool/http1/response_parser.py
+++ b/anisespool/http1/response_parser.py
@@ -80,6 +80,13 @@
             data, self._unstreamed = bytes(self._unstreamed), bytearray()
             self.body_stream.feed(data)
 
+    @property
+    def may_be_long(self) -> bool:
+        """Whether the head of a successful response has come, and its body may be too long to buffer."""
+        length = self._message.length()
+        is_ok = self.status == HTTPStatus.OK and self.response is None and not self._is_head_response
+        return is_ok and (length is None or length > MAX_BUFFERED_BODY_BYTES)
+
     def start_streaming(self) -> None:
         """Stop buffering the body, and pass on what has been received, whatever its length."""
         if self._open_body_stream and self.body_stream is None and self.response is None:
--- a/tests/test_moving_answers.py
+++ b/tests/test_moving_answers.py
@@ -16,8 +16,8 @@
 from anisespool.endpoints import endpoints
 from anisespool.front import server, timeouts
 from tests.net import Endpoint, Streams, exchange, harness, raw_call, read_head, until
-from tests.planned_end import sidecar
-from tests.test_long import BodySink
+from tests.planned_end import classes_with, sidecar
+from tests.test_long import BodySink, chunked
 
 DEADLINE_S = 0.3  # of all classes: the schedule of a shutdown is over 0.85 s after SIGTERM
 PIECE, PIECES, PIECE_S = b"x" * 65536, 50, 0.05  # an answer that takes 2.5 s
@@ -133,3 +133,35 @@
     async with SlowSink().serve() as endpoint, harness(tmp_path, endpoint) as it:
         answer = await exchange(it.address, raw_call("once", left_ms=15_000, body=b"z" * LONG_BYTES))
         assert answer.status == 200 and endpoint.bodies[0][0] == LONG_BYTES
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [b"Content-Length: %d" % len(BODY * 2), b"Transfer-Encoding: chunked", b"Connection: close"],
+    ids=["length", "chunked", "to the end"],
+)
+async def test_a_long_answer_that_begins_in_time_is_not_cut_off_at_the_deadline(
+    tmp_path: Path, framing: bytes
+) -> None:
+    """Fourth picture of issue 47: only the head had come by then, and the answer was taken for late."""
+
+    async def give_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(DEADLINE_S - 0.04)
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+        await asyncio.sleep(0.5)
+        writer.write(chunked(BODY * 2, 9000) if b"chunked" in framing else BODY * 2)
+        writer.close()
+
+    classes = classes_with(DEADLINE_S)
+    async with (
+        Endpoint(give_late).serve() as endpoint,
+        harness(tmp_path, endpoint, request_classes=classes) as it,
+    ):
+        reader, writer = await asyncio.open_connection(*it.address)
+        writer.write(raw_call("once", left_ms=int(DEADLINE_S * 1000)))
+        received = b""
+        while received.count(b"y") < len(BODY * 2) and (data := await reader.read(65536)):
+            received += data
+        assert received.startswith(b"HTTP/1.1 200") and received.count(b"y") == len(BODY * 2)
+        writer.close()
+        assert len(endpoint.requests) == 1
--- a/tests/test_time_limits.py
+++ b/tests/test_time_limits.py
@@ -16,21 +16,26 @@
 from tests.planned_end import classes_with
 from tests.test_long import BodySink, chunked
 
-LEFT_MS = 600
+LEFT_MS = 800
 LATE_S = 0.55  # an answer is lost half a second after its time; time limits on sockets grow by 50 ms
-LONG_BODY_BYTES = 5 << 20  # more than the kernel takes on the way to a server
+LONG_BODY_BYTES = 6 << 20  # more than the kernel takes on the way to a server
 CLASSES = classes_with(5.0, 4.0)
 
 
 class SlowSink(BodySink):
-    """Reads a body at 1 MB a second."""
+    """Reads a body steadily."""
 
-    receive_buffer_bytes = read_ahead_bytes = 65536
+    bytes_per_s = 2e5
 
     async def _body(self, reader: asyncio.StreamReader, head: bytes) -> AsyncIterator[bytes]:
         async for data in super()._body(reader, head):
             yield data
-            await asyncio.sleep(len(data) / 1e6)
+            await asyncio.sleep(len(data) / self.bytes_per_s)
+
+
+class FasterSink(SlowSink):
+    receive_buffer_bytes = read_ahead_bytes = 65536
+    bytes_per_s = 1e6
 
 
 async def answer_after_arrival(address: tuple[str, int], data: bytes) -> tuple[int, float]:
@@ -83,7 +88,7 @@
 async def test_a_long_request_is_not_given_up_while_its_server_reads_it(tmp_path: Path) -> None:
     """The limit moves with the bytes: a client that is held up has not sent the last one yet."""
     body_bytes = 8 << 20
-    async with SlowSink().serve() as endpoint, harness(tmp_path, endpoint, request_classes=CLASSES) as it:
+    async with FasterSink().serve() as endpoint, harness(tmp_path, endpoint, request_classes=CLASSES) as it:
         request = raw_call("once", left_ms=5000, body=b"x" * body_bytes)
         status, took_s = await answer_after_arrival(it.address, request)
         assert (status, [size for size, _ in endpoint.bodies]) == (200, [body_bytes]) and took_s < 5
