Do not reset a client that is still sending when its last answer has come

Callers that read only once all is sent lost an answer that came before the end of their request: the connection was reset a second later, in the midst of their writing. Cause: the end after a last answer waited for the client to read, not for bytes that still came from it. Change: it waits for as long as bytes come, 10 s at most. A request behind a hung one is waited for 0.35 s past its time in place of 0.25; the memory of a request and the hash of its id are computed once.

--- a/anisespool/attempted_ids.py
+++ b/anisespool/attempted_ids.py
@@ -9,6 +9,7 @@
 
 import hashlib
 import time
+from functools import lru_cache
 
 from anisespool.exchange import Call, Exchange
 from anisespool.state.shared_ids import IdRecord, SharedIds
@@ -17,6 +18,7 @@
 from shuntlead.interface import Effect
 
 MAX_IDS = 8192  # the oldest are dropped beyond that
+HASH_CACHE_SIZE = 128  # ids of requests in progress, each of which is looked up a few times
 RETENTION_DEADLINES = 2  # times the longest deadline: no client comes again with a request later than that
 
 
@@ -86,5 +88,10 @@
 
 
 def _hash(call: Call) -> int:
-    trace = call.request.headers.get(b"x-trace-id", b"")
+    return _hash_id(call.request.headers.get(b"x-trace-id", b""))
+
+
+@lru_cache(maxsize=HASH_CACHE_SIZE)
+def _hash_id(trace: bytes) -> int:
+    """The same in every process."""
     return int.from_bytes(hashlib.blake2b(trace, digest_size=8).digest(), "little")
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -26,6 +26,7 @@
         self._busy = False
         self._refuses_requests = False  # whatever else is received here is refused
         self._request: http1.Request | None = None  # the current one
+        self._request_bytes = 0  # the memory that it takes
         self._request_id = 0  # the driver's id of the current request; 0: none, or answered
         self._writer = ResponseWriter(self._on_end, self._on_broken, lambda: server.streaming.discard(self))
 
@@ -43,6 +44,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._writer.attach(transport)
+        self._writer.is_receiving = lambda: self._timeouts.is_receiving(time.monotonic())
         self._register_polls()
 
     def eof_received(self) -> None:
@@ -104,8 +106,7 @@
             self._queue.start_timer(self._give_up_current_request)
 
     def _held_besides_queue(self) -> int:
-        request_bytes = self._request.held_bytes if self._busy and self._request else 0
-        return request_bytes + self._writer.unsent_bytes
+        return (self._request_bytes if self._busy else 0) + self._writer.unsent_bytes
 
     # Responses ------------------------------------------------------------------------------------
 
@@ -125,6 +126,7 @@
             if PauseReason.QUEUE in self._pause_reasons and not self._queue.is_long:
                 self._resume_reading(PauseReason.QUEUE)
             self._busy, self._request_id, self._request = True, 0, request
+            self._request_bytes = received.held_bytes
             self._process(received)
             if self._busy:
                 self._queue.start_timer(self._give_up_current_request)
--- a/anisespool/front/request_decoding.py
+++ b/anisespool/front/request_decoding.py
@@ -34,6 +34,7 @@
     read_ns: int  # when this process read it
     was_stalled: bool  # read after a stall of the process, or late in a long turn of the event loop
     expires_ns: int  # when its client stops waiting for the answer
+    held_bytes: int  # the memory that it takes, without a streamed body
 
 
 def decode_received(received: ReceivedRequest, names: NameIndex, settings: Settings, now_ns: int) -> Call:
--- a/anisespool/front/request_queue.py
+++ b/anisespool/front/request_queue.py
@@ -9,7 +9,7 @@
 from anisespool.front.request_decoding import ReceivedRequest
 
 MAX_PIPELINED_REQUESTS = 8  # queued behind the current one before reading is paused
-EXPIRY_GRACE_S = 0.25  # past its time, an answer earns nothing, but is not late for half a second
+EXPIRY_GRACE_S = 0.35  # past its time, an answer earns nothing, but is not late for half a second
 
 
 class RequestQueue:
@@ -42,11 +42,11 @@
 
     def append(self, received: ReceivedRequest) -> None:
         self._received.append(received)
-        self.held_bytes += received.request.held_bytes
+        self.held_bytes += received.held_bytes
 
     def popleft(self) -> ReceivedRequest:
         received = self._received.popleft()
-        self.held_bytes -= received.request.held_bytes
+        self.held_bytes -= received.held_bytes
         return received
 
     def clear(self) -> None:
--- a/anisespool/front/request_reader.py
+++ b/anisespool/front/request_reader.py
@@ -50,6 +50,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._closing:
+            self._timeouts.data_received(time.monotonic())
             return
         now_ns, was_partial, was_in_body = time.monotonic_ns(), self._parser.partial, self._parser.in_body
         self._timeouts.data_received(now_ns / 1e9)
@@ -59,7 +60,9 @@
         for request in self._parser.feed(read_buffer[:nbytes]):
             self._record_body_arrival(request.body_stream)
             expires_ns = arrived_ns + time_left_ns(request, self._server.settings)
-            self._queue.append(ReceivedRequest(request, arrived_ns, now_ns, stalled, expires_ns))
+            self._queue.append(
+                ReceivedRequest(request, arrived_ns, now_ns, stalled, expires_ns, request.held_bytes)
+            )
         if self._parser.partial and not was_partial:
             self._timeouts.request_started(now_ns / 1e9, self._has_served)
         if self._parser.in_body and not was_in_body:
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 
 from anisespool import http1
@@ -13,6 +14,7 @@
 
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # buffered for one client before its source is paused
 LINGER_TIMEOUT_S = 1.0  # for the client to read the last response before the connection is aborted
+MAX_LINGER_S = 10.0  # the same, for one that goes on sending
 SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF; a larger one would only hide how slowly the client reads
 
 
@@ -29,6 +31,8 @@
         self._body_stream: BodyStream | None = None  # the rest of the current response
         self._chunked = False
         self._buffer_bytes: Callable[[], int] = lambda: WRITE_HIGH_WATER_BYTES
+        self.is_receiving: Callable[[], bool] = lambda: False  # whether the client is still sending
+        self._linger_until = 0.0  # monotonic seconds
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Write to this connection, whose small writes the kernel must not hold back."""
@@ -99,9 +103,11 @@
 
     def end_output(self) -> None:
         """Shut down the sending side behind what has been written, and abort the connection once the client
-        has had LINGER_TIMEOUT_S to read the end of it."""
+        has had LINGER_TIMEOUT_S to read the end of it. Many clients read only once all is sent, so one that
+        goes on sending has MAX_LINGER_S."""
         if self.transport:
             end_output(self.transport)
+            self._linger_until = time.monotonic() + MAX_LINGER_S
             self._linger()
 
     def _linger(self) -> None:
@@ -110,7 +116,8 @@
         asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._end_linger)
 
     def _end_linger(self) -> None:
-        if self.undelivered_bytes:
+        is_sending = self.is_receiving() and time.monotonic() < self._linger_until
+        if self.undelivered_bytes or is_sending:
             self._linger()
         elif self.transport:
             self.transport.abort()
