--- a/tests/test_time_limits.py
+++ b/tests/test_time_limits.py
@@ -11,9 +11,9 @@
 import pytest
 
 from anisespool.socket_state import unacknowledged_bytes
-from tests.memory_crowd import HungEndpoint
 from tests.net import Endpoint, Peer, harness, held_until, raw_call, read_response
 from tests.planned_end import classes_with
+from tests.slow_endpoints import HungEndpoint
 from tests.test_long import BodySink, chunked
 
 LEFT_MS = 800
