Close the operators' address when only long answers are left of a shutdown

Cause: since long answers go on in a shutdown for as long as they move, a process could hold that address for minutes, and a new process of the same sidecar gives up after 10 s. Change: the address is closed at the end of the schedule. The plays of memory and floods share a module that starts the process (tests/limited_process.py). Result: the new test failed before (address in use) and passes.

--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -150,6 +150,8 @@
         if self._sidecar.peers:
             self._sidecar.peers.close()  # a new process waits for this address
         self._sidecar.answer_by(shutdown.answer_by_ns)
+        # Long answers may go on for minutes, and a new process waits for this address too.
+        asyncio.get_running_loop().call_at(shutdown.ends_by_ns / 1e9, self._admin.close)
         await self._server.stop(shutdown)
         for task in tasks:
             task.cancel()
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import tempfile
 from collections.abc import Callable, Iterator
@@ -17,15 +16,13 @@
 from time import monotonic
 
 from anisespool.config import Address
-from tests.memory_crowd import held_mb
-from tests.net import Endpoint, free_port, member, raw_call, read_response, write_config
-from tests.planned_end import classes_with
-from tests.test_program import start
+from tests.limited_process import Limits, limited_process
+from tests.net import Endpoint, raw_call, read_response
 
 BATCH = 200  # requests written at once
 OTHERS, PERIOD_S = 8, 0.1  # other clients, and the time between two requests of each
 LEFT_MS = 2000
-MEMORY_MB = 80
+LIMITS = Limits(memory_mb=80, sockets=384, deadline_s=2.0, target_s=0.7)
 
 
 def health(n: int) -> bytes:
@@ -150,33 +147,20 @@
 
 async def play(folder: Path, kind: str, seconds: float, reads: bool = True) -> Figures:
     """Flood a real process with requests of this kind. `reads`: whether the client reads its answers."""
-    endpoints = [Endpoint() for _ in range(4)]
-    serving = [endpoint.serve() for endpoint in endpoints]
-    for each in serving:
-        await each.__aenter__()
-    listen = f"127.0.0.1:{free_port()}"
-    rows = [member(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
-    env = write_config(folder, Address("127.0.0.1", 1), rows, listen, request_classes=classes_with(2.0, 0.7))
-    path = Path(env["LB_CONFIG"])
-    path.write_text(
-        json.dumps(json.loads(path.read_text()) | {"limits": {"sockets": 384, "memory_mb": MEMORY_MB}})
-    )
-    process = await start(env)
-    address, figures = Address.parse(listen), Figures()
-    await asyncio.sleep(0.3)
-    until_s = monotonic() + seconds
-    others = [asyncio.create_task(_other(address, f"o{n}", until_s, figures)) for n in range(OTHERS)]
-    flooding = asyncio.create_task(_flood(address, KINDS[kind], figures, reads))
-    for _ in range(3):
-        figures.held_mb.append(held_mb(process.pid))
-        await asyncio.sleep(seconds / 3)
-    await asyncio.gather(*others)
-    figures.held_mb.append(held_mb(process.pid))
-    flooding.cancel()
-    process.kill()
-    await process.wait()
-    for each in serving:
-        await each.__aexit__(None, None, None)
+    figures = Figures()
+    async with limited_process(folder, Endpoint, LIMITS) as process:
+        await asyncio.sleep(0.3)
+        until_s = monotonic() + seconds
+        others = [
+            asyncio.create_task(_other(process.address, f"o{n}", until_s, figures)) for n in range(OTHERS)
+        ]
+        flooding = asyncio.create_task(_flood(process.address, KINDS[kind], figures, reads))
+        for _ in range(3):
+            figures.held_mb.append(process.held_mb())
+            await asyncio.sleep(seconds / 3)
+        await asyncio.gather(*others)
+        figures.held_mb.append(process.held_mb())
+        flooding.cancel()
     return figures
 
 
--- a/tests/memory_crowd.py
+++ b/tests/memory_crowd.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import tempfile
 from collections import Counter
@@ -17,15 +16,15 @@
 from time import monotonic
 
 from anisespool.config import Address
-from tests.net import Endpoint, Peer, Streams, free_port, member, raw_call, read_response, write_config
-from tests.planned_end import classes_with
+from tests.limited_process import Limits, limited_process
+from tests.net import Endpoint, Peer, Streams, raw_call, read_response
 from tests.slow_endpoints import HungEndpoint, SlowAnswerEndpoint, SlowEndpoint
-from tests.test_program import start
 
 LEFT_MS = 5000
 BODY_BYTES = 64_000
 SHORT_FIELD = b"%x:\r\n"
 POLL_S = 0.01
+PLAY_S = 15.0  # at most
 
 
 @dataclass
@@ -162,12 +161,6 @@
 }
 
 
-def held_mb(pid: int) -> float:
-    """What the process holds, without the files that it has mapped, in MB."""
-    rows = dict(line.split(":", 1) for line in Path(f"/proc/{pid}/status").read_text().splitlines())
-    return (int(rows["RssAnon"].split()[0]) + int(rows["RssShmem"].split()[0])) / 1000
-
-
 @dataclass
 class Figures:
     """The result of one crowd: memory in MB, and the number of clients by what they got."""
@@ -180,31 +173,18 @@
 async def play(folder: Path, kind: str, clients: int, memory_mb: int, sockets: int) -> Figures:
     """Start a sidecar with these limits, and let a crowd of this kind at it."""
     client, make_endpoint = KINDS[kind]
-    endpoints = [make_endpoint() for _ in range(4)]
-    serving = [endpoint.serve() for endpoint in endpoints]
-    for each in serving:
-        await each.__aenter__()
-    listen = f"127.0.0.1:{free_port()}"
-    rows = [member(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
-    env = write_config(folder, Address("127.0.0.1", 1), rows, listen, request_classes=classes_with(5.0, 4.0))
-    path = Path(env["LB_CONFIG"])
-    raw = json.loads(path.read_text()) | {"limits": {"sockets": sockets, "memory_mb": memory_mb}}
-    path.write_text(json.dumps(raw))
-    process = await start(env)
-    crowd = Crowd(Address.parse(listen))
-    await asyncio.sleep(0.5)
-    figures = Figures(held_mb(process.pid), 0.0, crowd.results)
-    running = asyncio.gather(*(crowd.run(n, client) for n in range(clients)))
-    until_s = monotonic() + 15
-    while not running.done() and monotonic() < until_s:
-        with suppress(KeyError, OSError):
-            figures.peak_mb = max(figures.peak_mb, held_mb(process.pid))
-        await asyncio.sleep(POLL_S)
-    running.cancel()
-    process.kill()
-    await process.wait()
-    for each in serving:
-        await each.__aexit__(None, None, None)
+    limits = Limits(memory_mb, sockets, deadline_s=5.0, target_s=4.0)
+    async with limited_process(folder, make_endpoint, limits) as process:
+        crowd = Crowd(process.address)
+        await asyncio.sleep(0.5)
+        figures = Figures(process.held_mb(), 0.0, crowd.results)
+        running = asyncio.gather(*(crowd.run(n, client) for n in range(clients)))
+        until_s = monotonic() + PLAY_S
+        while not running.done() and monotonic() < until_s:
+            with suppress(KeyError, OSError):
+                figures.peak_mb = max(figures.peak_mb, process.held_mb())
+            await asyncio.sleep(POLL_S)
+        running.cancel()
     return figures
 
 
--- a/tests/test_moving_answers.py
+++ b/tests/test_moving_answers.py
@@ -15,6 +15,7 @@
 from anisespool.config import Address
 from anisespool.endpoints import endpoints
 from anisespool.front import server, timeouts
+from anisespool.front.listener import open_listener
 from tests.net import Endpoint, Streams, exchange, harness, raw_call, read_head, until
 from tests.planned_end import classes_with, sidecar
 from tests.test_long import BodySink, chunked
@@ -165,3 +166,22 @@
         assert received.startswith(b"HTTP/1.1 200") and received.count(b"y") == len(BODY * 2)
         writer.close()
         assert len(endpoint.requests) == 1
+
+
+async def test_a_long_answer_does_not_hold_the_operators_address_in_a_shutdown(tmp_path: Path) -> None:
+    """A new process waits for that address for some seconds only."""
+    classes = classes_with(DEADLINE_S)
+    async with (
+        Endpoint(give_slowly).serve() as endpoint,
+        harness(tmp_path, endpoint, admin=True, request_classes=classes) as it,
+    ):
+        reader, writer = await asyncio.open_connection(*it.address)
+        writer.write(raw_call())
+        await read_head(reader)
+        it.stop.set()
+        await asyncio.sleep(1.2)  # the schedule is over
+        assert it.admin and not it.task.done()
+        open_listener(it.admin, backlog=1).close()
+        assert await reader.readexactly(len(PIECE) * PIECES)
+        await it.task
+        writer.close()
