Reset an answer that is not whole when its client has stopped reading

Callers that went on reading after 10 s could take a part of an answer without a length for the whole: the connection was closed, and the kernel delivered what it held and an orderly end behind it. Cause: the timeout of a client that does not read aborted the transport, which closes the socket in an orderly way. Change: where an answer is not whole, the connection is reset. Result: the new test failed before and passes.

--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -108,6 +108,15 @@
         elif stage is not Stage.HALF_WRITTEN or not self.has_unread():  # else the rest is there to be read
             self.end_request_wait()
 
+    def _end_stalled(self) -> None:
+        """The client does not read. It must not take the end of a response that is not whole for an orderly
+        one; of a whole one it may still read what the kernel holds."""
+        self._closing = True
+        if self._writer.is_streaming or self._writer.unsent_bytes:
+            self._writer.reset()
+        elif self._transport:
+            self._transport.abort()
+
     def _end_memory_wait(self) -> None:
         """Refuse the incomplete request, which lets go of what it holds. Other connections are read again."""
         if self._parser.partial and not (self._busy or self._queue):
@@ -135,15 +144,18 @@
         if self._writer.has_moved():
             self._timeouts.response_received(now)
         if self._timeouts.is_read_stalled(now):
-            self._closing = True
-            self._transport.abort()
+            self._end_stalled()
         elif self.has_waited_for_memory(now):
             self._end_memory_wait()
         elif self._uploading:
             if self._timeouts.is_body_late(now):
                 self._abort_upload(HTTPStatus.REQUEST_TIMEOUT)
-        elif self._timeouts.is_request_late(now) and not (
-            self._busy or self._closing or self._writer.undelivered_bytes
-        ):
-            if not self._parser.in_body or self._timeouts.is_body_late(now):
-                self.end_request_wait()
+        elif self._is_request_late(now):
+            self.end_request_wait()
+
+    def _is_request_late(self, now: float) -> bool:
+        """Whether the client has had its time to send a request, and nothing else is left to do."""
+        if self._busy or self._closing or self._writer.undelivered_bytes:
+            return False
+        is_body_allowed = self._parser.in_body and not self._timeouts.is_body_late(now)
+        return self._timeouts.is_request_late(now) and not is_body_allowed
--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -96,3 +96,24 @@
             await writer.drain()
         assert (await read_response(reader)).status == 503
         writer.close()
+
+
+async def test_an_answer_without_a_length_that_its_client_does_not_read_has_no_orderly_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The kernel delivered what it held and an end behind it, which passed for the end of the answer."""
+    long_body = BODY * 20
+
+    async def give_without_length(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + long_body)
+        await writer.drain()
+        writer.close()
+
+    async with scenario(tmp_path, monkeypatch) as it:
+        it.endpoint.answer = give_without_length
+        reader, _ = await it.connect(raw_call("once", left_ms=15_000).replace(b"HTTP/1.1", b"HTTP/1.0"))
+        await until(lambda: any(c._writer.unsent_bytes for c in it.server.connections))
+        await it.enforce_read_timeout()
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(4096):
+                pass
