Wait for a free connection to servers, and end uploads that stopped, not requests

Callers saw 503 to ordinary requests while all servers were sound: three attempts in a row had CONNECT_FAILED.

Cause: once all connections that this process may have to servers carried a request, an attempt ended at once as CONNECT_FAILED, which puts the server last in the draw and uses up the retries. The connections were held by uploads whose clients had stopped half way: these have a time by their bytes (0.75 s and 1 s for each 60 kB) or 10 s, and could not be evicted. An attempt that timed out while it waited for a descriptor was CONNECT_FAILED too.

Now an attempt waits for a connection like for a descriptor, and ends as MOOT, which says nothing of the server. The upload that has been quiet longest, for a second at least, makes room: its request is not received, so nothing is lost. It may also be evicted for its client's descriptor.

--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -39,9 +39,9 @@
     are in monotonic nanoseconds."""
 
     __slots__ = ("_end_ns", "_timer", "connection", "counts", "deadline_ns", "endpoint", "body_stream",
-                 "is_unsent", "load", "may_start", "number", "on_upload", "on_end", "on_response_start",
-                 "request", "request_id", "response", "response_started_ns", "started_ns",
-                 "status")  # fmt: skip
+                 "is_unsent", "lacks_resources", "load", "may_start", "number", "on_upload", "on_end",
+                 "on_response_start", "request", "request_id", "response", "response_started_ns",
+                 "started_ns", "status")  # fmt: skip
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
                  on_end: Callable[[Attempt], None], on_response_start: Callable[[Attempt], None] = _ignore,
@@ -55,6 +55,7 @@
         self.request_id, self.number, self.endpoint = request_id, number, endpoint
         self.request, self.deadline_ns, self.on_end = request, deadline_ns, on_end
         self.on_response_start, self.on_upload, self.may_start = on_response_start, on_upload, may_start
+        self.lacks_resources = False  # it has waited as this host had no connection or descriptor left
         self.is_unsent = False  # it was ended before the whole request had been written
         self.started_ns = time.monotonic_ns()  # after an upload, when its last byte was sent; 0 during it
         self.response_started_ns = 0  # when a streamed response began; 0: it has not
@@ -158,7 +159,7 @@
 
     def abort(self, status: Status) -> None:
         """Aborts the attempt with `status`. A timeout before the request was wholly sent becomes
-        CONNECT_FAILED, as the request cannot have run."""
+        CONNECT_FAILED, as the request cannot have run, or MOOT if it waited for a resource of this host."""
         if self.status is not None:
             return
         connection, self.connection = self.connection, None
@@ -168,4 +169,7 @@
         if connection:
             connection.discard()
         self.is_unsent = unsent
-        self.end(Status.CONNECT_FAILED if unsent and status is Status.TIMEOUT else status)
+        if unsent and status is Status.TIMEOUT:
+            is_local = connection is None and self.lacks_resources
+            status = Status.MOOT if is_local else Status.CONNECT_FAILED
+        self.end(status)
--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -13,7 +13,8 @@
 from anisespool.endpoints.connection import Connection
 from anisespool.endpoints.forwarding import encode_attempt
 from anisespool.endpoints.pool import REUSE_DELAY_S, Pool, PooledConnection
-from anisespool.errors.system import SystemFailure, classify, is_local_shortage, to_fault
+from anisespool.endpoints.shortage import SHORTAGE_PAUSE_S, ConnectionLimitReached, ShortageHandler
+from anisespool.errors.system import is_local_shortage
 from anisespool.log import log_error, log_info
 from anisespool.memory_budget import DEFAULT_MEMORY_BYTES, MemoryBudget
 from shuntlead.interface import Status
@@ -24,7 +25,6 @@
 MAX_IDLE_PER_ENDPOINT = 48  # connections
 SWEEP_INTERVAL_S = 1.0  # interval of the checks for expired and stalled connections
 LOG_INTERVAL_S = 0.5  # minimum between two log lines on failed connections
-SHORTAGE_PAUSE_S = 0.02  # between attempts to connect while this host has no descriptor, port or buffer left
 STALL_S = 10.0  # without progress of a streamed body, before the attempt ends; pauses of seconds are normal
 
 
@@ -46,8 +46,8 @@
         # Pools with connections, or with counters not logged yet. Periodic work visits only these, a small
         # part of a long list. Pools of removed endpoints stay here until their connections have ended.
         self._active: dict[Pool, None] = {}
-        self._logged_at = self._shortage_handled_at = -inf
-        self.make_room: Callable[[], object] = lambda: None  # frees a descriptor in use by something else
+        self._logged_at = -inf
+        self._shortages = ShortageHandler(self._evict, self.log_error)
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
 
@@ -69,22 +69,27 @@
     def log_traffic(self) -> None:
         """Logs one line of counters by endpoint name. Names are the same in all sidecars, unlike numbers, so
         the lines can be added up over the fleet."""
-        rows = []
-        for pool in self._active:
-            if pool.counts or pool.connection_count:
-                done = f"{pool.counts['sends']}/{pool.counts['connects']}/{pool.connection_count}"
-                bad = "+".join(f"{n}{s.name.lower()}" for s in Status if (n := pool.counts[s.name]))
-                load = ",".join(f"{value:.2g}" for value in pool.load)
-                rows.append(f"{pool.name} {done} {bad or '-'} {load or '-'}")
-                pool.counts.clear()
+        rows = [pool.take_counts() for pool in self._active if pool.counts or pool.connection_count]
         self._active = {pool: None for pool in self._active if pool.connection_count or pool.connecting}
         log_info("traffic", "; ".join(rows))
 
+    def on_shortage(
+        self, free_descriptor: Callable[[], object], free_connection: Callable[[], object]
+    ) -> None:
+        """Sets what is called while attempts wait, and no connection is idle: for a descriptor that something
+        else uses, and for a connection of a request that makes no progress."""
+        self._shortages.free_descriptor, self._shortages.free_connection = free_descriptor, free_connection
+
     def log_failure(self, text: str) -> None:
         """Logs a broken connection, at most one line per LOG_INTERVAL_S."""
         if self._may_log():
             log_info("broken", text)
 
+    def log_error(self, error: BaseException) -> None:
+        """The same for an error of this host."""
+        if self._may_log():
+            log_error("broken", error)
+
     def _may_log(self) -> bool:
         now = time.monotonic()
         if now < self._logged_at + LOG_INTERVAL_S:
@@ -122,14 +127,9 @@
         self._active[pool] = None
         attempt.counts = pool.counts
         pool.counts["sends"] += 1
-        is_full = len(self.connections) + self._opening >= self._max_connections
         if connection := pool.acquire(time.monotonic() - REUSE_DELAY_S):
             self._start(connection, pool, attempt)
             return
-        if is_full and not self._evict():
-            attempt.end(Status.CONNECT_FAILED)
-            return
-        self._connecting.add(attempt)
         pool.counts["connects"] += 1
         pool.connecting.add(attempt)
         task = asyncio.get_running_loop().create_task(self._open(pool, attempt))
@@ -147,7 +147,6 @@
         except ValueError:  # invalid host name or port
             pass
         finally:
-            self._connecting.discard(attempt)
             pool.connecting.discard(attempt)
         # A connection lost before the attempt is bound to it would never end the attempt.
         if connection is None or not connection.is_usable():
@@ -161,28 +160,24 @@
 
     async def _connect(self, pool: Pool, attempt: Attempt) -> PooledConnection:
         """Opens a connection for this attempt; raises OSError on failure or after the connect timeout. While
-        this host has no descriptor, port or buffer left, it retries, or takes a connection that has been idle
-        for REUSE_DELAY_S meanwhile."""
-        loop = asyncio.get_running_loop()
+        this host has no connection, descriptor, port or buffer left, it retries, or takes a connection that
+        has been idle for REUSE_DELAY_S meanwhile."""
         shortage: OSError | None = None
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 while shortage is None or attempt.status is None:
                     try:
-                        _, connection = await loop.create_connection(
-                            lambda: Connection(self, pool, partial(self._connecting.discard, attempt)),
-                            *pool.address,
-                        )
-                        return connection
+                        return await self._open_connection(pool, attempt)
                     except OSError as error:
                         if not is_local_shortage(error):
                             shortage = None
                             raise
                         shortage = error
+                    attempt.lacks_resources = True
                     if idle := pool.acquire(time.monotonic() - REUSE_DELAY_S):
                         return idle
                     if not pool.idle:  # otherwise one of them can be used soon
-                        self._handle_shortage(shortage)
+                        self._shortages.handle(shortage)
                     await asyncio.sleep(SHORTAGE_PAUSE_S)
         except TimeoutError:
             if shortage is None:
@@ -192,16 +187,20 @@
         assert shortage
         raise shortage
 
-    def _handle_shortage(self, shortage: OSError) -> None:
-        """This host has run out of a resource: closes one idle connection, but not more than one per
-        SHORTAGE_PAUSE_S, however many attempts wait."""
-        if self._may_log():
-            log_error("broken", to_fault(shortage))
-        now = time.monotonic()
-        if now >= self._shortage_handled_at + SHORTAGE_PAUSE_S:
-            self._shortage_handled_at = now
-            if not self._evict() and classify(shortage) is SystemFailure.NO_RESOURCES:
-                self.make_room()
+    async def _open_connection(self, pool: Pool, attempt: Attempt) -> Connection:
+        """Raises OSError, and ConnectionLimitReached if all connections are in use."""
+        is_full = len(self.connections) + self._opening >= self._max_connections
+        if is_full and not self._evict():
+            raise ConnectionLimitReached(self._max_connections)
+        self._connecting.add(attempt)
+        on_open = partial(self._connecting.discard, attempt)
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: Connection(self, pool, on_open), *pool.address
+            )
+            return connection
+        finally:
+            on_open()
 
     def _start(self, connection: PooledConnection, pool: Pool, attempt: Attempt) -> None:
         """Writes the request, unless its deadline has passed."""
--- a/anisespool/endpoints/pool.py
+++ b/anisespool/endpoints/pool.py
@@ -50,6 +50,14 @@
                 connection.discard()
         return None
 
+    def take_counts(self) -> str:
+        """Describes the counters for the log, and resets them."""
+        done = f"{self.counts['sends']}/{self.counts['connects']}/{self.connection_count}"
+        bad = "+".join(f"{n}{s.name.lower()}" for s in Status if (n := self.counts[s.name]))
+        load = ",".join(f"{value:.2g}" for value in self.load)
+        self.counts.clear()
+        return f"{self.name} {done} {bad or '-'} {load or '-'}"
+
     def close_idle(self) -> None:
         idle, self.idle = self.idle, []
         for connection in idle:
--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -64,7 +64,15 @@
         if self._closing:  # no request will follow that could reset the connection
             return not self._writer.unsent_bytes
         is_receiving = self._parser.partial and self._timeouts.is_receiving(monotonic())
-        return not (self._busy or self._queue or is_receiving or self._writer.undelivered_bytes)
+        is_busy = self._busy and not self.has_stalled_upload
+        return not (is_busy or self._queue or is_receiving or self._writer.undelivered_bytes)
+
+    @property
+    def has_stalled_upload(self) -> bool:
+        """Whether the client has stopped in the middle of a long body, although it is read. The request has
+        not been received, so nothing is lost with it."""
+        is_stalled = self._uploading and not (self._pause_reasons or self._writer.is_streaming)
+        return is_stalled and not self._timeouts.is_receiving(monotonic())
 
     def idle_score(self, now: float) -> float:
         """Eviction priority, see `ClientTimeouts.idle_score`. Connections that are closing come first."""
@@ -83,6 +91,8 @@
             return False
         TELEMETRY.count("clients evicted")
         if self._parser.partial and not self._closing:
+            if self._uploading:
+                self._cancel_upload()
             self._writer.write(http1.encode_response(HTTPStatus.REQUEST_TIMEOUT, close=True))
         self._closing = True
         self._transport.abort()
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -72,12 +72,16 @@
             self._server.sidecar.limit_upload(self._request_id, is_waiting)
 
     def _abort_upload(self, status: HTTPStatus) -> None:
-        """The rest of the body is invalid or late. The endpoint has only received an incomplete request."""
+        """The rest of the body is invalid or late."""
+        self._cancel_upload()
+        self._reject(status)
+
+    def _cancel_upload(self) -> None:
+        """End the request whose body is being received. Its endpoint has received an incomplete request."""
         request_id, self._request_id = self._request_id, 0
         if request_id:
             self._server.sidecar.on_client_gone(request_id)
         self._busy = False
-        self._reject(status)
 
     def _handle_received(self) -> None:
         if self._uploading and self._parser.error:
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -99,6 +99,14 @@
         """Evict one connection to free its descriptor; returns whether one was evicted."""
         return self._eviction.evict_one(excluded)
 
+    def end_stalled_upload(self) -> bool:
+        """Evict one client that has stopped in the middle of a long body, to free its connection to an
+        endpoint; returns whether there was one."""
+        stalled = [connection for connection in self.connections if connection.has_stalled_upload]
+        now = time.monotonic()
+        stalled.sort(key=lambda connection: connection.idle_score(now), reverse=True)
+        return any(connection.evict() for connection in stalled)
+
     def release_memory(self, nbytes: int) -> None:
         """Refuse requests that are being received until that much memory is released, or there are none."""
         for connection in list(self.connections):
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -78,7 +78,7 @@
         self._sidecar = Sidecar(config, self._endpoints, self._maintenance.orders, shared_ids)
         self._admin_commands = AdminCommands(config, self._sidecar, self._maintenance)
         self._server = Server(self._sidecar, config.names, settings, clients, self._memory)
-        self._endpoints.make_room = self._server.make_room
+        self._endpoints.on_shortage(self._server.make_room, self._server.end_stalled_upload)
         self._snapshot = ListSnapshot(self._store, config.known_members) if self._store else None
         external = self._sidecar.external
         # The dedup group of a key need not be stored if all servers drop its repeats: any may get one.
