Accept no more clients than their share of the descriptors, some of them to be refused

Callers saw `Too many open files` in a crowd, and requests that could not reach any server.

Cause: the limit of client connections was no limit. They took the descriptors of connections to servers, of discovery and of operators.

Now at most their share is accepted; further ones wait in the kernel's queue until a place is free. As waiting there takes a request's time, one place in nine is there to refuse requests at once, so 130 are served at 256 descriptors (147 before) and 585 at 1,024; clients with requests hold a third at most, 85 and 341.

--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -13,6 +13,7 @@
 from anisespool.errors import NoRoomForClients
 from anisespool.front.client_connection import ClientConnection
 from anisespool.front.client_reader import PausedConnections
+from anisespool.front.connection_ceiling import connection_ceiling
 from anisespool.front.eviction import EvictionOrder
 from anisespool.front.listener import Acceptor, adopt_listener, open_listener
 from anisespool.front.request_reader import CONNECTION_BYTES
@@ -52,12 +53,10 @@
         self.memory = memory or MemoryBudget(DEFAULT_MEMORY_BYTES)
         self.streaming: set[Responder] = set()
         self.connections: set[ClientConnection] = set()
-        self.paused_connections, self.stall_detector = (
-            PausedConnections(self.memory.resume_waiting),
-            StallDetector(),
-        )
+        self.paused_connections = PausedConnections(self.memory.resume_waiting)
+        self.stall_detector = StallDetector()
         self._shutdown: Shutdown | None = None
-        self._max_connections = max_connections
+        self._max_connections = max_connections  # that are served
         self._listener: socket.socket | None = None
         self._acceptor: Acceptor | None = None
         self._shares_listener = False  # another process accepts from it too, and takes what is queued
@@ -157,9 +156,18 @@
         if self._listener:
             self._acceptor = Acceptor("server", self._listener, ACCEPT_RETRY_DELAY_S, self.make_room,
                                       self._start_serving, MAX_ACCEPTS_PER_TURN,
-                                      self._has_memory_for_connection)  # fmt: skip
+                                      self._has_room_for_connection)  # fmt: skip
             self._acceptor.start()
 
+    def _has_room_for_connection(self) -> bool:
+        """Whether one more connection may be accepted. Those over the limit of connections are there to be
+        refused, and have descriptors of their own."""
+        count = len(self.connections) + len(self._accept_tasks)
+        if count < connection_ceiling(self._max_connections) or self.make_room():
+            return self._has_memory_for_connection()
+        TELEMETRY.count("accepts put off for descriptors")
+        return False
+
     def _has_memory_for_connection(self) -> bool:
         """Whether one more connection may be accepted. When memory has run out, or connections take their
         share of it, only in place of an idle one, or if there are next to none."""
--- a/anisespool/limits.py
+++ b/anisespool/limits.py
@@ -10,6 +10,7 @@
 from anisespool.admin import MAX_CALLERS
 from anisespool.config import Config
 from anisespool.endpoints import Endpoints
+from anisespool.front.connection_ceiling import served_connections
 from anisespool.front.server import Server
 from anisespool.log import log_info
 from anisespool.memory_monitor import MemoryMonitor
@@ -18,16 +19,18 @@
 
 SPARE_SOCKETS = 24  # descriptors reserved for everything but clients, endpoints and operators
 ENDPOINTS_DIVISOR = 3  # a third of the descriptors: each request of a client needs a server connection
+MIN_CONNECTIONS = 8  # to clients and to servers, however low the limit
 RESOURCES_INTERVAL_S = 5.0  # between log lines: a leak shows long before a limit is reached
 
 
 def connection_limits(config: Config, has_other: bool) -> tuple[int, int]:
-    """Maximum connections to clients and to servers, for each process, within the descriptor limit.
-    `has_other`: two processes share the limit during an upgrade."""
+    """Maximum connections to clients that are served, and to servers, for each process, within the descriptor
+    limit. `has_other`: two processes share the limit during an upgrade."""
     processes = 2 if has_other else 1
     servers = config.sockets // ENDPOINTS_DIVISOR // processes
     spare = SPARE_SOCKETS + (MAX_CALLERS if config.admin else 0)
-    return max(8, config.sockets // processes - servers - spare), max(8, servers)
+    clients = served_connections(config.sockets // processes - servers - spare)
+    return max(MIN_CONNECTIONS, clients), max(MIN_CONNECTIONS, servers)
 
 
 async def log_resources(
