Bound and count the kernel's buffers, and time long bodies from the client's write

Callers saw a process killed over its limit, and final answers to long bodies up to some seconds late.

Cause, one for both: bodies wait in kernels by design, where they were neither counted nor timed. Sockets had the system's buffers, which grow to some MB each. A body was read as its server took it, so that the rest waited in the client's kernel, unseen, while its time seemed not to have begun.

Buffers of the kernel are now sized by the memory for each descriptor; the account has what the kernel holds, and the program's files; a request is begun if all unanswered ones could be read slowly. So a body is read ahead of its server while there is memory, and where there is none its time runs from when reading stopped. A wait deducted in the queue was deducted again at the server; now once.

Tests changed, as strict: the account's sum has the program's files; accepted sockets are recorded once wrapped; an answer breaks off once all that was written has arrived; connect_then_lose takes keywords. The soak counts the kernel too and has large crowds.

--- a/anisespool/body_stream.py
+++ b/anisespool/body_stream.py
@@ -29,9 +29,6 @@
     def __init__(self, length: int | None, pause: Callable[[], None], resume: Callable[[], None]) -> None:
         self.length = length  # None: unknown in advance (chunked, or until the connection closes)
         self.done = self.broken = self.paused = False
-        # When the last bytes of it that have arrived so far reached this machine, read or not, in monotonic
-        # nanoseconds, and whether these are the last of the body.
-        self.last_arrived_ns, self.has_arrived = 0, False
         self._buffered = bytearray()
         self._sink: Sink | None = None
         self._discarded = False
--- a/anisespool/endpoints/attempt.py
+++ b/anisespool/endpoints/attempt.py
@@ -98,13 +98,13 @@
         return self.status is None and not self.started_ns
 
     def upload_waits_since_ns(self) -> int:
-        """Since when neither the client has sent more of the body nor the endpoint has taken more of it; once
-        the body has arrived whole, since its last byte. The client's time runs from then: for all that is
-        known, the last byte is on its way. Monotonic."""
+        """Since when the client's time runs: since it may have written the last byte of the body. Where it
+        can't have, since neither the client has sent more of it nor the endpoint has taken more of it.
+        Monotonic."""
         body_stream = self.request.body_stream
         assert body_stream
-        if body_stream.has_arrived or self.connection is None:
-            return body_stream.last_arrived_ns
+        if body_stream.is_timed or self.connection is None:
+            return body_stream.sent_ns
         return max(body_stream.last_arrived_ns, self.connection.upload_moved_ns())
 
     def limit_upload(self, since_ns: int | None) -> None:
@@ -120,7 +120,7 @@
         assert self.request.body_stream
         self._timer.cancel()
         self.started_ns = time.monotonic_ns()
-        self.deadline_ns += self.request.body_stream.last_arrived_ns or self.started_ns
+        self.deadline_ns += self.request.body_stream.sent_ns or self.started_ns
         if self._end_ns is not None:
             self.deadline_ns = min(self.deadline_ns, self._end_ns)
         if not self.body_stream:  # no deadline if the response began before the upload had finished
--- a/anisespool/endpoints/connection.py
+++ b/anisespool/endpoints/connection.py
@@ -13,7 +13,9 @@
 from anisespool.endpoints.connection_owner import ConnectionOwner
 from anisespool.endpoints.pool import Pool
 from anisespool.endpoints.request_sender import RequestSender
+from anisespool.endpoints.response_status import response_status
 from anisespool.memory_budget import Holding
+from anisespool.socket_buffers import SOCKET_BYTES
 from anisespool.socket_state import has_events
 from anisespool.sockets import reset
 from shuntlead.interface import Status
@@ -63,7 +65,10 @@
     def _account(self) -> None:
         """Report the memory that the request and the response take here."""
         response_bytes = self._parser.held_bytes if self._parser else 0
-        self._holding.set(CONNECTION_BYTES + response_bytes + self._sender.unsent_bytes)
+        kernel_bytes = SOCKET_BYTES + self._sender.kernel_bytes
+        if self._parser and self._parser.body_stream:
+            kernel_bytes += self._owner.memory.buffers.receive_capacity_bytes
+        self._holding.set(CONNECTION_BYTES + response_bytes + self._sender.buffer_bytes, kernel_bytes)
 
     def is_usable(self) -> bool:
         """Whether a request may be written. The endpoint may have closed an idle connection without the event
@@ -205,13 +210,8 @@
         )
 
     def _on_response(self, response: http1.Response) -> None:
-        status = Status.ERROR
-        if response.status == 200:
-            status = Status.OK
-        elif response.status in (503, 504) and response.headers.get(b"x-never-ran", b"").strip() == b"1":
-            status = Status.FULL
         reusable = response.keep_alive and not self.has_unsent_data and self._is_acknowledged()
-        self._end(status, response, reusable)
+        self._end(response_status(response), response, reusable)
 
     def _end(self, status: Status, response: http1.Response | None = None, reusable: bool = False) -> None:
         attempt = self._attempt
--- a/anisespool/endpoints/endpoints.py
+++ b/anisespool/endpoints/endpoints.py
@@ -10,6 +10,7 @@
 
 from anisespool.config import Address
 from anisespool.endpoints.attempt import Attempt
+from anisespool.endpoints.connecting import connect
 from anisespool.endpoints.connection import Connection
 from anisespool.endpoints.forwarding import encode_attempt
 from anisespool.endpoints.pool import REUSE_DELAY_S, Pool, PooledConnection
@@ -195,10 +196,7 @@
         self._connecting.add(attempt)
         on_open = partial(self._connecting.discard, attempt)
         try:
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: Connection(self, pool, on_open), *pool.address
-            )
-            return connection
+            return await connect(lambda: Connection(self, pool, on_open), pool.address, self.memory)
         finally:
             on_open()
 
--- a/anisespool/endpoints/request_sender.py
+++ b/anisespool/endpoints/request_sender.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from anisespool import http1
-from anisespool.body_stream import BodyStream
 from anisespool.endpoints.attempt import Attempt
 from anisespool.outgoing import Outgoing
+from anisespool.request_body import RequestBody
 
 
 class RequestSender(Outgoing):
@@ -20,7 +20,7 @@
         self._on_progress = on_progress
         self._unflushed = False  # the transport still buffers data that the kernel has not accepted
         self._attempt: Attempt | None = None  # whose body is streamed
-        self._upload: BodyStream | None = None  # the rest of that body
+        self._upload: RequestBody | None = None  # the rest of that body
 
     @property
     def has_unsent_data(self) -> bool:
--- a/anisespool/exchange.py
+++ b/anisespool/exchange.py
@@ -93,10 +93,16 @@
         """Start the client's time limit for the request now."""
         self._start_deadline_timer_at(time.monotonic_ns())
 
-    def restart_deadline_timer(self) -> None:
-        """The upload of the body has finished: start the time limit at the arrival of its last byte."""
-        assert self.call.request.body_stream
-        self._start_deadline_timer_at(self.call.request.body_stream.last_arrived_ns or time.monotonic_ns())
+    def on_body_progress(self, attempt: Attempt) -> None:
+        """The upload of the body has started, or it has finished: start the time limit at the client's last
+        write, once that may have been."""
+        self.cancel_deadline_timer()
+        body = self.call.request.body_stream
+        assert body
+        if not attempt.started_ns and body.is_timed:
+            self.limit_upload(is_waiting=True)
+        elif attempt.started_ns and self.reply:
+            self._start_deadline_timer_at(body.sent_ns or time.monotonic_ns())
 
     def limit_upload(self, is_waiting: bool) -> None:
         """Start the time limit although the upload has not finished, as the body waits for its endpoint.
--- a/anisespool/front/http_connection.py
+++ b/anisespool/front/http_connection.py
@@ -68,7 +68,7 @@
     # Streamed request bodies ----------------------------------------------------------------------
 
     def _limit_upload(self, is_waiting: bool) -> None:
-        if self._uploading and self._request_id:
+        if self._request_id:
             self._server.sidecar.limit_upload(self._request_id, is_waiting)
 
     def _abort_upload(self, status: HTTPStatus) -> None:
@@ -144,7 +144,8 @@
             self._refuses_requests = True
             self._answer(Answer(503, b"too many connections\n", self._server.retry_after_s()))
             return
-        if request.is_refused or self._server.memory.is_exhausted:
+        unanswered = self._server.sidecar.open - len(self._server.streaming)
+        if request.is_refused or not self._server.memory.may_start(unanswered):
             self._refuse_for_memory(request)
             return
         try:
--- a/anisespool/front/listener.py
+++ b/anisespool/front/listener.py
@@ -19,6 +19,7 @@
     to_fault,
 )
 from anisespool.log import log_error
+from anisespool.socket_buffers import SocketBuffers
 from anisespool.waiting import wait_for_any
 
 ACCEPT_LOG_INTERVAL_S = 0.5  # between two log lines about failed accepts
@@ -27,12 +28,14 @@
 Result = TypeVar("Result")
 
 
-def open_listener(address: Address, backlog: int) -> socket.socket:
-    """A listening TCP socket at this address. Raises OSError."""
+def open_listener(address: Address, backlog: int, buffers: SocketBuffers | None = None) -> socket.socket:
+    """A listening TCP socket at this address, and the buffers of what it accepts. Raises OSError."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
+        if buffers:
+            buffers.bound_receiving(listener)
         listener.bind(address)
         listener.listen(backlog)
     except OSError:
--- a/anisespool/front/request_decoding.py
+++ b/anisespool/front/request_decoding.py
@@ -51,9 +51,11 @@
     requests after it.
     """
     body_stream = call.request.body_stream
-    if body_stream and not (body_stream.done or body_stream.has_arrived):
+    if body_stream and not body_stream.is_timed:
         return call  # its time has not begun
-    waited_ns = now_ns - (body_stream.last_arrived_ns if body_stream else received.arrived_ns)
+    waited_ns = now_ns - (body_stream.sent_ns if body_stream else received.arrived_ns)
+    if body_stream:
+        body_stream.counted_until_ns = now_ns
     if waited_ns <= NEGLIGIBLE_WAIT_NS:
         return call
     if received.was_stalled and received.read_ns - received.arrived_ns > MAX_UNREAD_SHARE * call.left_ns:
--- a/anisespool/front/request_reader.py
+++ b/anisespool/front/request_reader.py
@@ -9,14 +9,15 @@
 
 import time
 
-from anisespool import http1
-from anisespool.body_stream import BodyStream, read_buffer
+from anisespool.body_stream import read_buffer
 from anisespool.endpoints.connection import CONNECTION_BYTES as ENDPOINT_CONNECTION_BYTES
-from anisespool.front.client_reader import ClientReader, PauseReason
+from anisespool.front.body_reader import BodyReader
+from anisespool.front.client_reader import PauseReason
 from anisespool.front.request_decoding import ReceivedRequest, header_time_left_ns, time_left_ns
 from anisespool.front.request_queue import RequestQueue
 from anisespool.front.server_interface import ServerInterface
 from anisespool.memory_budget import Holding, Priority
+from anisespool.socket_buffers import SOCKET_BYTES
 from anisespool.telemetry import TELEMETRY
 
 CONNECTION_BYTES = 5 * 1024  # the objects of a connection
@@ -28,20 +29,17 @@
 MAX_PARTIAL_WAIT_NS = 1_000_000_000
 
 
-class RequestReader(ClientReader):
+class RequestReader(BodyReader):
     """Receives requests into a queue. Subclasses handle them."""
 
     def __init__(self, server: ServerInterface) -> None:
-        super().__init__(server.paused_connections)
-        self._server = server
-        self._parser = http1.RequestParser(self._pause_upload, self._resume_upload)
+        super().__init__(server)
         self._queue = RequestQueue()
         self._closing = self._has_served = False
         self._busy = False  # a request is in progress
         self._holding = Holding(server.memory)
         self._reserved_bytes = 0  # for the body that is being received
         self._waiting_for_memory_since = 0.0  # monotonic seconds
-        self._is_upload_limited = False
 
     def _handle_received(self) -> None:
         """Requests were queued, or the parser has found an error."""
@@ -51,9 +49,8 @@
         """The memory that the current request and its response take."""
         raise NotImplementedError
 
-    def _limit_upload(self, is_waiting: bool) -> None:
-        """The body that is being received waits for its endpoint, or (False) all that has arrived was passed
-        on, so that there is no time limit until more arrives."""
+    def _unacknowledged_bytes(self) -> int:
+        """What the kernel holds of responses."""
         raise NotImplementedError
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -67,10 +64,9 @@
         self._timeouts.data_received(now_ns / 1e9)
         arrived_ns = self._arrival_ns(now_ns, nbytes)
         stalled = self._server.stall_detector.is_stalled(now_ns)
-        self._record_body_arrival(self._parser.body_stream)
-        for request in self._parser.feed(read_buffer[:nbytes]):
+        requests, arrived_ns = self._parse(read_buffer[:nbytes], now_ns, arrived_ns)
+        for request in requests:
             self._reserved_bytes = 0
-            self._record_body_arrival(request.body_stream)
             expires_ns = arrived_ns + time_left_ns(request, self._server.settings)
             self._queue.append(
                 ReceivedRequest(request, arrived_ns, now_ns, stalled, expires_ns, request.held_bytes)
@@ -83,39 +79,25 @@
         if self._queue.is_long:
             self._pause_reading(PauseReason.QUEUE)
         self._handle_received()
-        if self._is_upload_limited:
-            self._renew_upload_limit()
+        if body := self._current_upload:
+            body.update()
+            if self._is_upload_limited or body.is_timed:
+                self._renew_upload_limit()
         self._account()
         if not (self._closing or self._may_read_on()):
             self._wait_for_memory()
 
-    def _record_body_arrival(self, body_stream: BodyStream | None) -> None:
-        if body_stream and not body_stream.has_arrived:
-            body_stream.last_arrived_ns = self._arrival_times.last_arrived_ns
-
     def record_unread(self) -> None:
         super().record_unread()
-        body_stream, left_bytes = self._parser.body_stream, self._parser.body_left_bytes
-        if body_stream and PauseReason.UPLOAD in self._pause_reasons:
-            self._record_body_arrival(body_stream)
-            body_stream.has_arrived = left_bytes is not None and self._unread_bytes() >= left_bytes
-            self._renew_upload_limit()
         if PauseReason.MEMORY in self._pause_reasons and self._has_waited_for_memory():
             self._refuse_body()
 
-    def _renew_upload_limit(self) -> None:
-        """An upload has a time limit for as long as bytes of it wait for its endpoint. It moves with them."""
-        body_stream = self._parser.body_stream
-        self._is_upload_limited = body_stream is not None and (body_stream.paused or self._unread_bytes() > 0)
-        if body_stream:
-            self._limit_upload(self._is_upload_limited)
-
     def _account(self) -> None:
         """Report the memory that this connection takes."""
         parser_bytes = max(self._parser.held_bytes, self._reserved_bytes)
-        self._holding.set(
-            CONNECTION_BYTES + parser_bytes + self._queue.held_bytes + self._held_besides_queue()
-        )
+        own_bytes = CONNECTION_BYTES + parser_bytes + self._queue.held_bytes + self._held_besides_queue()
+        unread_bytes = self._server.memory.buffers.receive_capacity_bytes if self._pause_reasons else 0
+        self._holding.set(own_bytes, SOCKET_BYTES + unread_bytes + self._unacknowledged_bytes())
 
     def _end_holding(self) -> None:
         """The connection has ended."""
@@ -132,9 +114,13 @@
 
     # Waiting for memory -----------------------------------------------------------------------------
 
+    @property
+    def _has_requests_before(self) -> bool:
+        return self._busy or bool(self._queue)
+
     @property
     def _priority(self) -> Priority:
-        return Priority.READ_AHEAD if self._busy or self._queue else Priority.NEXT
+        return Priority.READ_AHEAD if self._has_requests_before else Priority.NEXT
 
     def _may_read_on(self) -> bool:
         """Whether there is memory for what follows. Reserves what the body takes that is being received."""
@@ -159,6 +145,7 @@
         TELEMETRY.count("waits for memory")
         self._waiting_for_memory_since = time.monotonic()
         self._pause_reading(PauseReason.MEMORY)
+        self._account()
         self._server.memory.wait(self._on_memory, self._needed_bytes, self._priority)
 
     def _on_memory(self) -> None:
@@ -212,9 +199,3 @@
         self._server.memory.cancel_wait(self._on_memory)
         self._timeouts.extend_body(time.monotonic() - self._waiting_for_memory_since)
         self._resume_reading(PauseReason.MEMORY)
-
-    def _pause_upload(self) -> None:
-        self._pause_reading(PauseReason.UPLOAD)
-
-    def _resume_upload(self) -> None:
-        self._resume_reading(PauseReason.UPLOAD)
--- a/anisespool/front/responder.py
+++ b/anisespool/front/responder.py
@@ -12,9 +12,10 @@
 from anisespool.front.response_writer import WRITE_HIGH_WATER_BYTES, ResponseWriter
 from anisespool.front.server_interface import ServerInterface
 from anisespool.log import log_error
+from anisespool.request_body import RequestBody
+from anisespool.socket_buffers import MIN_RESPONSE_BUFFER_BYTES
 from anisespool.telemetry import TELEMETRY
 
-MIN_RESPONSE_BUFFER_BYTES = 4 * 1024  # per client, however many responses are streamed at once
 OUT_OF_MEMORY = b"out of memory\n"
 
 
@@ -33,18 +34,27 @@
         """Handle the queued requests in order."""
         raise NotImplementedError
 
+    @property
+    def _current_upload(self) -> RequestBody | None:
+        return self._request.body_stream if self._busy and self._request else None
+
     @property
     def _uploading(self) -> bool:
         """The body of the current request is still being received."""
-        body_stream = self._request.body_stream if self._busy and self._request else None
-        return body_stream is not None and not body_stream.done
+        body = self._current_upload
+        return body is not None and not body.done
 
     def _held_besides_queue(self) -> int:
-        buffered_bytes = self._writer.unsent_bytes
+        buffered_bytes, body = self._writer.buffer_bytes, self._current_upload
+        if body and body.done:  # until then it counts as being received
+            buffered_bytes += body.held_bytes
         if self._writer.is_streaming:  # that much is always passed on
             buffered_bytes = max(buffered_bytes, MIN_RESPONSE_BUFFER_BYTES)
         return (REQUEST_BYTES + self._request_bytes if self._busy else 0) + buffered_bytes
 
+    def _unacknowledged_bytes(self) -> int:
+        return self._writer.kernel_bytes
+
     def _refuse_incomplete(self) -> None:
         TELEMETRY.count("refused as out of memory")
         retry_after_s = self._server.retry_after_s()
--- a/anisespool/front/response_writer.py
+++ b/anisespool/front/response_writer.py
@@ -15,7 +15,6 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # buffered for one client before its source is paused
 LINGER_TIMEOUT_S = 1.0  # for the client to read the last response before the connection is aborted
 MAX_LINGER_S = 10.0  # the same, for one that goes on sending
-SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF; a larger one would only hide how slowly the client reads
 
 
 class ResponseOwner(Protocol):
@@ -82,7 +81,6 @@
         """Write the response head, and pass the body on from `body_stream`."""
         assert self.transport
         self.write(http1.encode_head(200, body_stream.length, 0.0, not keep_alive, chunked))
-        set_option(self.transport, socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._body_stream, self._chunked = body_stream, chunked and body_stream.length is None
         body_stream.attach(self)
 
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 
+from anisespool.bounded_socket import BoundedSocket
 from anisespool.config import Address, NameIndex
 from anisespool.errors import NoRoomForClients
 from anisespool.front.client_connection import ClientConnection
@@ -23,6 +24,7 @@
 from anisespool.log import log_error
 from anisespool.memory_budget import DEFAULT_MEMORY_BYTES, MIN_READ_BYTES, MemoryBudget
 from anisespool.sidecar import Sidecar
+from anisespool.socket_buffers import SOCKET_BYTES
 from anisespool.telemetry import TELEMETRY
 from shuntlead import Settings
 
@@ -31,7 +33,7 @@
 MAX_ACCEPTS_PER_TURN = 8
 MIN_CONNECTIONS = 16  # that are accepted whatever memory is left
 CONNECTIONS_SHARE = 2  # one part in so many of the memory is for connections and what was read of a head
-IDLE_CLIENT_BYTES = CONNECTION_BYTES + MIN_READ_BYTES
+IDLE_CLIENT_BYTES = CONNECTION_BYTES + SOCKET_BYTES + MIN_READ_BYTES
 ACCEPT_RETRY_DELAY_S = 0.05  # when no descriptor is left, or accept(2) fails with an unknown error
 SWEEP_INTERVAL_S = 0.25
 
@@ -130,13 +132,14 @@
 
     def listen(self, address: Address) -> Address:
         """Bind the address, and start to accept."""
-        self._listener = open_listener(address, BACKLOG)
+        self._listener = open_listener(address, BACKLOG, self.memory.buffers)
         self._start_accepting()
         return Address(*self._listener.getsockname())
 
     def inherit(self, descriptor: int) -> Address:
         """Accept from an inherited listening socket, from which other processes may accept too."""
         self._listener = adopt_listener(descriptor)
+        self.memory.buffers.bound_receiving(self._listener)
         self._shares_listener = True
         self._start_accepting()
         return Address(*self._listener.getsockname())
@@ -148,7 +151,8 @@
             self._acceptor.accept()
 
     def _start_serving(self, connected: socket.socket) -> None:
-        task = asyncio.get_running_loop().create_task(self._serve(connected))
+        bounded = BoundedSocket.wrap(connected, self.memory)
+        task = asyncio.get_running_loop().create_task(self._serve(bounded))
         self._accept_tasks.add(task)
         task.add_done_callback(self._accept_tasks.discard)
 
@@ -179,7 +183,7 @@
         TELEMETRY.count("accepts put off for memory")
         return False
 
-    async def _serve(self, connected: socket.socket) -> None:
+    async def _serve(self, connected: BoundedSocket) -> None:
         loop = asyncio.get_running_loop()
         try:
             connected.setblocking(False)
--- a/anisespool/http1/messages.py
+++ b/anisespool/http1/messages.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from anisespool.body_stream import BodyStream
+from anisespool.request_body import RequestBody
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # longer bodies are streamed
 MAX_STREAMED_BODY_BYTES = 48 * 1024 * 1024  # slightly above the largest body that is expected
@@ -32,7 +32,7 @@
     headers: dict[bytes, bytes]  # those of `REQUEST_HEADERS`, names in lower case
     body: bytes
     keep_alive: bool
-    body_stream: BodyStream | None = None  # replaces the body if that is too long to buffer
+    body_stream: RequestBody | None = None  # replaces the body if that is too long to buffer
     version: str = "1.1"
     is_refused: bool = False  # its body was dropped, as there was no memory for it
 
--- a/anisespool/http1/request_parser.py
+++ b/anisespool/http1/request_parser.py
@@ -7,7 +7,6 @@
 
 import httptools
 
-from anisespool.body_stream import BodyStream
 from anisespool.http1.messages import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -16,9 +15,9 @@
     PartialMessage,
     Request,
 )
+from anisespool.http1.read_size import wanted_bytes
 from anisespool.http1.request_line import RequestLine, head_without_upgrade, origin_form
-
-HEAD_READ_BYTES, CHUNKED_READ_BYTES = 4 * 1024, 16 * 1024  # of one read, see RequestParser.wanted_bytes
+from anisespool.request_body import RequestBody
 
 # An httptools parser and its owner reference each other. Left to the garbage collector, these cycles would
 # pile up, one per request, with the data that they have read; so each parser is closed after use.
@@ -34,16 +33,18 @@
     """
 
     def __init__(
-        self, pause: Callable[[], None] = lambda: None, resume: Callable[[], None] = lambda: None
-    ) -> None:
-        """`pause` and `resume` control reading from the client, when the sink of a body is too slow."""
+        self, pause: Callable[[], None] = lambda: None, resume: Callable[[], None] = lambda: None,
+        room_bytes: Callable[[], int] = lambda: 0,
+    ) -> None:  # fmt: skip
+        """`pause` and `resume` control reading from the client, when the sink of a body is too slow and more
+        than `room_bytes` of it wait."""
         self.error = 0
         self.failure: BaseException | None = None  # a fault of this program that set `error`
         self.wants_continue = False
         self.body_bytes = 0  # received of the current request's body
-        self._pause, self._resume = pause, resume
+        self._pause, self._resume, self._room_bytes = pause, resume, room_bytes
         self._completed: list[Request] = []
-        self._body_stream: BodyStream | None = None
+        self._body_stream: RequestBody | None = None
         self._unstreamed = bytearray()  # of the streamed body, in the bytes that are being parsed
         self._body_parts: list[bytes] = []  # of the body, in the bytes that are being parsed
         # The library's callback: a method of ours would take most of the time that small chunks take.
@@ -67,10 +68,15 @@
         return self._message.headers
 
     @property
-    def body_stream(self) -> BodyStream | None:
+    def body_stream(self) -> RequestBody | None:
         """The body that is being received, if it is streamed."""
         return self._body_stream
 
+    @property
+    def body_length(self) -> int | None:
+        """The length of the body that is being received; None: it is not known."""
+        return self._message.length()
+
     @property
     def body_left_bytes(self) -> int | None:
         """How much of the body is still to come; None: its length is not known."""
@@ -93,15 +99,8 @@
 
     @property
     def wanted_bytes(self) -> int:
-        """How much to read at once. Many short requests take many times their length once they are parsed, so
-        what follows the body of the current one is left unread. So do chunks of few bytes take long to parse,
-        while other connections wait."""
-        if not self.in_body:
-            return HEAD_READ_BYTES
-        left_bytes = self.body_left_bytes
-        if left_bytes is None:
-            return CHUNKED_READ_BYTES if self._body_stream else HEAD_READ_BYTES
-        return max(0, left_bytes) + HEAD_READ_BYTES
+        """How much to read at once."""
+        return wanted_bytes(self.in_body, self.body_left_bytes, self._body_stream is not None)
 
     def feed(self, data: bytes | memoryview) -> list[Request]:
         """The requests that these bytes complete, including those that precede an error."""
@@ -162,6 +161,7 @@
         """No more bytes will be fed."""
         del self._parser
         self._pause = self._resume = lambda: None
+        self._room_bytes = lambda: 0
         if self._body_stream:
             self._body_stream.fail()
 
@@ -214,7 +214,7 @@
                 self._start_streaming(None)
 
     def _start_streaming(self, length: int | None) -> None:
-        self._body_stream = BodyStream(length, self._pause, self._resume)
+        self._body_stream = RequestBody(length, self._pause, self._resume, self._room_bytes)
         self._unstreamed += self._message.take_body()
         self._completed.append(self._request(b"", self._body_stream))
 
@@ -224,7 +224,7 @@
             data, self._unstreamed = bytes(self._unstreamed), bytearray()
             self._body_stream.feed(data)
 
-    def _request(self, body: bytes, body_stream: BodyStream | None = None) -> Request:
+    def _request(self, body: bytes, body_stream: RequestBody | None = None) -> Request:
         parser, message = self._parser, self._message
         return Request(
             parser.get_method(), origin_form(self._target), message.headers, body, parser.should_keep_alive(),
--- a/anisespool/limits.py
+++ b/anisespool/limits.py
@@ -13,8 +13,10 @@
 from anisespool.front.connection_ceiling import served_connections
 from anisespool.front.server import Server
 from anisespool.log import log_info
+from anisespool.memory_budget import MemoryBudget
 from anisespool.memory_monitor import MemoryMonitor
 from anisespool.sidecar import Sidecar
+from anisespool.socket_buffers import SocketBuffers
 from anisespool.telemetry import TELEMETRY
 
 SPARE_SOCKETS = 24  # descriptors reserved for everything but clients, endpoints and operators
@@ -33,6 +35,12 @@
     return max(MIN_CONNECTIONS, clients), max(MIN_CONNECTIONS, servers)
 
 
+def memory_budget(config: Config) -> MemoryBudget:
+    """What all connections together may hold, before the process has been measured."""
+    buffers = SocketBuffers.for_limits(config.memory_bytes, config.sockets)
+    return MemoryBudget(config.memory_bytes, buffers)
+
+
 async def log_resources(
     server: Server, sidecar: Sidecar, endpoints: Endpoints, memory: MemoryMonitor
 ) -> None:
--- a/anisespool/memory_budget.py
+++ b/anisespool/memory_budget.py
@@ -11,11 +11,14 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
+from anisespool.socket_buffers import MAX_BUFFER_BYTES, SocketBuffers
+
 MAX_READ_BYTES, MIN_READ_BYTES = 64 * 1024, 1024
 DEFAULT_MEMORY_BYTES = 16 * 1024 * 1024
 READ_SHARE = 8  # a read takes one part in so many of what is free for bodies
 # One part in so many of the limit is not for bodies and buffers: requests that are under way need it.
 RESERVE_SHARE = 8
+READ_AHEAD_BODY_SHARE = 4  # one long body takes one part in so many of what is free for bodies
 READ_AHEAD_SHARE = 2  # bodies behind a request in progress leave one part in so many free
 
 
@@ -29,11 +32,14 @@
 class MemoryBudget:
     """The limit and what is held, in bytes."""
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, buffers: SocketBuffers | None = None) -> None:
+        """`buffers`: what the kernel may hold for each connection."""
+        self.buffers = buffers or SocketBuffers()
         self.limit_bytes, self._reserve_bytes = limit_bytes, limit_bytes // RESERVE_SHARE
         self._min_bytes = self._reserve_bytes  # that may always be held
         self.held_bytes = 0  # as the connections report it
-        self.unaccounted_bytes = 0  # what the process holds beyond its start and `held_bytes`
+        self.kernel_bytes = 0  # of these, what the kernel holds for them
+        self.unaccounted_bytes = 0  # what the process holds beyond its start and what they report of it
         self.refresh: Callable[[], None] = lambda: None  # updates the limit and `unaccounted_bytes`
         # What each connection waits for, in the order in which they began to wait.
         self._waiting: dict[Priority, dict[Callable[[], None], int]] = {each: {} for each in Priority}
@@ -55,6 +61,11 @@
         """Whether no new request can be served."""
         return self.free_bytes <= 0
 
+    def may_start(self, unanswered: int) -> bool:
+        """Whether there is room for a request beside those that have no answer yet, if all of them get long
+        answers that are read slowly."""
+        return self.free_bytes > unanswered * self.buffers.min_stream_bytes
+
     @property
     def is_short(self) -> bool:
         """Whether what is left is kept for requests that are under way."""
@@ -70,6 +81,18 @@
     def _free_for_bodies(self) -> int:
         return self.free_bytes - self._reserve_bytes
 
+    @property
+    def send_buffer_bytes(self) -> int:
+        """How large the kernel's send buffer of a connection may be now. A small one costs time: what the
+        other side has received is only freed once it acknowledges it."""
+        is_half_free = self.free_bytes > self.limit_bytes // 2
+        return MAX_BUFFER_BYTES if is_half_free else self.buffers.min_send_bytes
+
+    @property
+    def read_ahead_bytes(self) -> int:
+        """How much of one long body may wait in this process for its endpoint."""
+        return max(0, self._free_for_bodies // READ_AHEAD_BODY_SHARE)
+
     def share_bytes(self, count: int) -> int:
         """What each of `count` buffers may hold, so that half of what is free stays free."""
         return max(0, self._free_for_bodies // 2 // max(1, count))
@@ -109,16 +132,18 @@
 class Holding:
     """What one connection holds of a budget."""
 
-    __slots__ = ("_budget", "_is_released", "_nbytes")
+    __slots__ = ("_budget", "_is_released", "_kernel_bytes", "_nbytes")
 
     def __init__(self, budget: MemoryBudget) -> None:
-        self._budget, self._nbytes, self._is_released = budget, 0, False
+        self._budget, self._nbytes, self._kernel_bytes, self._is_released = budget, 0, 0, False
 
-    def set(self, nbytes: int) -> None:
-        """The connection holds `nbytes` now."""
+    def set(self, own_bytes: int, kernel_bytes: int = 0) -> None:
+        """The connection holds so much in this process now, and so much in the kernel."""
         if not self._is_released:
+            nbytes = own_bytes + kernel_bytes
             self._budget.held_bytes += nbytes - self._nbytes
-            self._nbytes = nbytes
+            self._budget.kernel_bytes += kernel_bytes - self._kernel_bytes
+            self._nbytes, self._kernel_bytes = nbytes, kernel_bytes
 
     def release(self) -> None:
         """The connection has ended, and holds nothing whatever it reports."""
--- a/anisespool/memory_monitor.py
+++ b/anisespool/memory_monitor.py
@@ -1,9 +1,10 @@
 """Keeps the memory budget of the connections in line with what the whole process holds.
 
 The account is: the limit, less a margin, less this process at rest, less the other process of an upgrade,
-less the files that count as memory. What is left is the connections' (`MemoryBudget.limit_bytes`). What this
-process holds beyond its rest and what the connections report is taken off too: objects that nobody reports,
-and memory that the allocator keeps.
+less the files that count as memory, less the pages of the program's files. What is left is the connections'
+(`MemoryBudget.limit_bytes`), with what the kernel holds for their sockets. What this process holds beyond its
+rest and what the connections report is taken off too: objects that nobody reports, and memory that the
+allocator keeps.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
 # other process of an upgrade.
 MARGIN_SHARE, OTHER_MARGIN_SHARE = 32, 64
 LIST_WORK_BYTES = 2 * 1024  # a server, for a moment, while a whole list is taken in
+PROGRAM_RESERVE_SHARE = 8  # one part in so many of the limit is left beside the program's files
 MIN_BUDGET_SHARE = 128  # a process that is larger than its limit still serves with one part in so many
 PROCESS_BYTES = 16_000_000  # of a process at rest, until that is measured
 RETURNABLE_BYTES = 256 * 1024  # less than that is not worth a search for free pages
@@ -44,6 +46,7 @@
     other_process: int  # running, or to come in an upgrade
     files: int
     listed_servers: int = 0
+    program: int = 0  # pages of the program's files
 
     @property
     def min_for_connections(self) -> int:
@@ -56,7 +59,9 @@
         if self.other_process:
             margin += self.limit // OTHER_MARGIN_SHARE
         left = self.limit - margin - self.at_rest - self.other_process - self.files
-        return max(left, self.min_for_connections)
+        # The kernel can drop pages of the program's files, so they never take all that is left.
+        left_beside_program = max(left - self.program, min(left, self.limit // PROGRAM_RESERVE_SHARE))
+        return max(left_beside_program, self.min_for_connections)
 
 
 class MemoryMonitor:
@@ -78,7 +83,7 @@
         self._other: ResidentMemory | None = None
         self._at_rest_bytes = PROCESS_BYTES
         self._sampled_at = self._slow_sampled_at = self._returned_at = self._collected_at = 0.0
-        self._logged_at, self._files = 0.0, 0
+        self._logged_at, self._files, self._program = 0.0, 0, 0
         self._was_short = self._was_half_used = False
         self.account = Account(limit_bytes, PROCESS_BYTES, 0, PROCESS_BYTES if expects_upgrade else 0, 0)
         budget.set_limit(self.account.for_connections, self.account.min_for_connections)
@@ -114,9 +119,10 @@
         account, budget = self.account, self._budget
         parts = {
             "at rest": account.at_rest, "held by connections": budget.held_bytes,
+            "of that in the kernel": budget.kernel_bytes,
             "not accounted": budget.unaccounted_bytes, "another process": account.other_process,
-            "files": account.files, "lists": account.listed_servers * LIST_WORK_BYTES,
-            "free": budget.free_bytes,
+            "files": account.files, "program": account.program,
+            "lists": account.listed_servers * LIST_WORK_BYTES, "free": budget.free_bytes,
         }  # fmt: skip
         text = ", ".join(f"{name} {nbytes >> 10} KiB" for name, nbytes in parts.items())
         return f"{account.limit >> 10} KiB: {text}; {budget.waiting} connections wait"
@@ -127,6 +133,7 @@
             self._slow_sampled_at = now_s
             self._find_other_process()
             self._files = self._files_bytes()
+            self._program = self._own.read_mapped_bytes() if self._own else 0
         self._measure()
         is_half_used = self._budget.free_bytes < self._budget.limit_bytes // 2
         if is_half_used != self._was_half_used:
@@ -142,9 +149,9 @@
         resident_bytes = self._own.read_bytes() if self._own else 0
         self.account = Account(
             self._limit_bytes, self._at_rest_bytes, resident_bytes, self._other_bytes(), self._files,
-            self._listed(),
+            self._listed(), self._program,
         )  # fmt: skip
-        accounted_bytes = self._at_rest_bytes + self._budget.held_bytes
+        accounted_bytes = self._at_rest_bytes + self._budget.held_bytes - self._budget.kernel_bytes
         self._budget.unaccounted_bytes = max(0, resident_bytes - accounted_bytes)
         self._budget.set_limit(self.account.for_connections, self.account.min_for_connections)
 
--- a/anisespool/outgoing.py
+++ b/anisespool/outgoing.py
@@ -10,6 +10,9 @@
 
 from anisespool.socket_state import unacknowledged_bytes
 
+# One part in so many comes on top of what waits in the kernel, and in a buffer of this process.
+KERNEL_OVERHEAD_SHARE, BUFFER_OVERHEAD_SHARE = 4, 8
+
 
 class Outgoing:
     """Writes to one transport and counts the bytes."""
@@ -18,10 +21,12 @@
         self.transport: asyncio.Transport | None = None
         self._written_bytes = 0
         self._acknowledged_bytes = -1  # at the last `has_moved`; less than none before the first
+        self._may_wait_in_kernel = False
 
     def write(self, data: bytes) -> None:
         if self.transport:
             self._written_bytes += len(data)
+            self._may_wait_in_kernel = True
             self.transport.write(data)
 
     @property
@@ -29,6 +34,12 @@
         """Bytes not yet handed to the kernel, which would be lost if this process exited."""
         return self.transport.get_write_buffer_size() if self.transport else 0
 
+    @property
+    def buffer_bytes(self) -> int:
+        """The memory of these, as a buffer that grows is larger than what it holds."""
+        unsent_bytes = self.unsent_bytes
+        return unsent_bytes + unsent_bytes // BUFFER_OVERHEAD_SHARE
+
     @property
     def undelivered_bytes(self) -> int:
         """Bytes that the other machine has not acknowledged, whether in this process or in the kernel."""
@@ -37,6 +48,15 @@
             return 0  # the socket may be closed
         return unsent_bytes + unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
 
+    @property
+    def kernel_bytes(self) -> int:
+        """What the kernel holds of it."""
+        if not self._may_wait_in_kernel:
+            return 0
+        waiting_bytes = self.undelivered_bytes - self.unsent_bytes
+        self._may_wait_in_kernel = waiting_bytes > 0
+        return waiting_bytes + waiting_bytes // KERNEL_OVERHEAD_SHARE
+
     def has_moved(self) -> bool:
         """Whether any byte was acknowledged since the last call, or none is due. True in the first call."""
         undelivered_bytes, previous_bytes = self.undelivered_bytes, self._acknowledged_bytes
--- a/anisespool/process_memory.py
+++ b/anisespool/process_memory.py
@@ -23,7 +23,7 @@
 
 
 class ResidentMemory:
-    """The anonymous memory of one process, from /proc/PID/statm."""
+    """The resident memory of one process, from /proc/PID/statm."""
 
     def __init__(self, pid: int) -> None:
         """Raises OSError if the process has ended, or no descriptor is left."""
@@ -31,12 +31,20 @@
         self._descriptor = os.open(f"/proc/{pid}/statm", os.O_RDONLY | os.O_CLOEXEC)
 
     def read_bytes(self) -> int:
-        """0 once the process has ended."""
+        """Its anonymous memory. 0 once the process has ended."""
+        resident_bytes, mapped_bytes = self._read()
+        return resident_bytes - mapped_bytes
+
+    def read_mapped_bytes(self) -> int:
+        """Its pages of mapped files, such as the program's. 0 once the process has ended."""
+        return self._read()[1]
+
+    def _read(self) -> tuple[int, int]:
         try:
             _, resident, shared, *_ = os.pread(self._descriptor, STATM_BYTES, 0).split()
         except (OSError, ValueError):
-            return 0
-        return (int(resident) - int(shared)) * PAGE_BYTES
+            return 0, 0
+        return int(resident) * PAGE_BYTES, int(shared) * PAGE_BYTES
 
     def close(self) -> None:
         os.close(self._descriptor)
--- a/anisespool/service.py
+++ b/anisespool/service.py
@@ -19,10 +19,9 @@
 from anisespool.front.listener import open_listener, open_with_retry
 from anisespool.front.server import Server
 from anisespool.front.shutdown import Shutdown
-from anisespool.limits import connection_limits, log_resources
+from anisespool.limits import connection_limits, log_resources, memory_budget
 from anisespool.log import log_info
 from anisespool.maintenance import Maintenance
-from anisespool.memory_budget import MemoryBudget
 from anisespool.memory_monitor import MemoryMonitor
 from anisespool.process_memory import files_bytes
 from anisespool.sidecar import Sidecar
@@ -52,7 +51,7 @@
         counts."""
         self._measures_memory = measures_memory
         settings, (clients, servers) = config.settings, connection_limits(config, False)
-        self._config, self._memory = config, MemoryBudget(config.memory_bytes)
+        self._config, self._memory = config, memory_budget(config)
         self._endpoints = Endpoints(
             settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, servers, self._memory
         )
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -158,9 +158,7 @@
         """The first or the last bytes of a long request body were sent. A body partly sent cannot be sent
         again. The request's time limit starts with the arrival of the last byte, see `limit_upload`."""
         exchange = self._exchanges[attempt.request_id]
-        exchange.cancel_deadline_timer()
-        if attempt.started_ns and exchange.reply:
-            exchange.restart_deadline_timer()
+        exchange.on_body_progress(attempt)
         self._handle(api.BodyProgress(attempt.request_id, attempt.number, attempt.started_ns > 0))
 
     def _on_response_start(self, attempt: Attempt) -> None:
--- a/tests/connection_scenario.py
+++ b/tests/connection_scenario.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from anisespool import memory_budget
+from anisespool.bounded_socket import BoundedSocket
 from anisespool.front import server, timeouts
 from anisespool.front.server import Server
 from anisespool.front.shutdown import Stage
@@ -29,14 +31,19 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.sockets: list[socket.socket] = []
-        real = Server._start_serving
+        self._monkeypatch = monkeypatch
+        real = Server._serve
 
-        def record(accepting: Server, connected: socket.socket) -> None:
+        async def record(accepting: Server, connected: BoundedSocket) -> None:
             self.sockets.append(connected)
-            connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
-            real(accepting, connected)
+            await real(accepting, connected)
 
-        monkeypatch.setattr(Server, "_start_serving", record)
+        monkeypatch.setattr(Server, "_serve", record)
+        self.limit_send_buffers(SMALL_BUFFER_BYTES)
+
+    def limit_send_buffers(self, nbytes: int) -> None:
+        """Of all that write something from now on."""
+        self._monkeypatch.setattr(memory_budget, "MAX_BUFFER_BYTES", nbytes)
 
     def open(self) -> set[int]:
         """The descriptors of those that are open."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,7 +22,7 @@
 
 
 async def _all(
-    seeds: list[int], jobs: int, folder: Path, program: Path | None, has_crowds: bool
+    seeds: list[int], jobs: int, folder: Path, program: Path | None, crowd_size: str | None
 ) -> list[Outcome]:
     places = asyncio.Semaphore(jobs)
 
@@ -32,7 +32,8 @@
             shutil.rmtree(home, ignore_errors=True)  # an old state store would contain lists of another run
             home.mkdir(parents=True)
             plan = draw_plan(seed)
-            crowds = draw_crowds(seed, plan.processes) if has_crowds else None
+            is_large = crowd_size == "large"
+            crowds = draw_crowds(seed, plan.processes, is_large) if crowd_size else None
             outcome = await run_plan(plan, home, program, crowds)
         print(outcome, flush=True)
         for text in outcome.violations[:MAX_SHOWN]:
@@ -50,7 +51,10 @@
     parser.add_argument("--jobs", type=int, default=4, help="concurrent runs, two cores each")
     parser.add_argument("--folder", type=Path, help="where to keep logs; default: a temporary folder")
     parser.add_argument("--program", type=Path, help="checkout whose sidecar to run")
-    parser.add_argument("--crowds", action="store_true", help="crowds and signals in series beside the plan")
+    parser.add_argument(
+        "--crowds", nargs="?", const="usual", choices=("usual", "large"),
+        help="crowds and signals in series beside the plan; large: of more clients than the pages allow",
+    )  # fmt: skip
     given = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
         folder = given.folder or Path(temporary)
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -15,6 +15,7 @@
 from tests.fleet import Fleet
 from tests.limited_process import files_bytes, resident_bytes
 from tests.soak.record import Record
+from tests.socket_memory import held_by_process
 
 FIRST_CROWD_S, LAST_CROWD_S = 1.0, 15.0
 MEMORY_MB, SOCKETS = (32, 32, 48, 80), (256, 512, 1024)
@@ -25,6 +26,9 @@
     "mixed", "small_chunks", "slow_bodies", "half_bodies", "short_fields", "long_pipelines",
     "short_pipelines", "unread_answers",
 )  # fmt: skip
+# Of a large crowd: the part of the descriptors that it takes, and clients that stop or read slowly as well.
+LARGE_CROWD_SHARE, LARGE_CROWD_MEMORY_MB = 0.8, (32, 48, 64, 80)
+LARGE_CROWD_KINDS = (*CROWD_KINDS, "half_uploads", "long_readers", "slow_readers")
 FILE_PREFIXES = "sailbridge-", "anisespool-"
 
 
@@ -59,15 +63,19 @@
     series: list[KillSeries] = field(default_factory=list)
 
 
-def draw_crowds(seed: int, processes: int) -> CrowdPlan:
-    """Clients hold at most the part of the descriptors that the pages allow them."""
-    rng = random.Random(f"{seed}-crowds")
-    plan = CrowdPlan(rng.choice(MEMORY_MB), rng.choice(SOCKETS))
+def draw_crowds(seed: int, processes: int, is_large: bool = False) -> CrowdPlan:
+    """Clients hold at most the part of the descriptors that the pages allow them. `is_large`: more clients
+    than that connect at once."""
+    rng = random.Random(f"{seed}-large-crowds" if is_large else f"{seed}-crowds")
+    kinds = LARGE_CROWD_KINDS if is_large else CROWD_KINDS
+    plan = CrowdPlan(rng.choice(LARGE_CROWD_MEMORY_MB if is_large else MEMORY_MB), rng.choice(SOCKETS))
     most = plan.sockets // CLIENTS_DIVISOR - RESERVED_CLIENTS
+    if is_large:
+        most = int(plan.sockets * LARGE_CROWD_SHARE)
     at_s = FIRST_CROWD_S
     while (at_s := at_s + rng.uniform(0.5, 4.0)) < LAST_CROWD_S:
         clients, length_s = rng.randint(most // 4, most), rng.uniform(1.0, 5.0)
-        kind, process = rng.choice(CROWD_KINDS), rng.randrange(processes)
+        kind, process = rng.choice(kinds), rng.randrange(processes)
         plan.crowds.append(CrowdEvent(at_s, process, kind, clients, length_s))
         at_s += length_s
     for _ in range(rng.randint(0, 2)):
@@ -79,7 +87,7 @@
 
 @dataclass
 class MemoryWatch:
-    """The most that a process and its files have held, in MB."""
+    """The most that a process, the kernel for its sockets, and its files have held, in MB."""
 
     peak_mb: float = 0.0
 
@@ -88,7 +96,7 @@
         while True:
             pid, folder = locate()
             with suppress(OSError, KeyError):
-                held_bytes = resident_bytes(pid) + files_bytes(folder, FILE_PREFIXES)
+                held_bytes = resident_bytes(pid) + held_by_process(pid) + files_bytes(folder, FILE_PREFIXES)
                 self.peak_mb = max(self.peak_mb, held_bytes / 1e6)
             await asyncio.sleep(POLL_S)
 
--- a/tests/socket_memory.py
+++ b/tests/socket_memory.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 from collections.abc import Iterator
+from contextlib import suppress
 from typing import NamedTuple
 
 NETLINK_SOCK_DIAG = 4  # linux/netlink.h
@@ -20,11 +22,11 @@
 
 
 class SocketMemory(NamedTuple):
-    """One socket: its ports, whether a process has it open, and what the kernel holds for it."""
+    """One socket: its ports, its inode (0: no process has it open), and what the kernel holds for it."""
 
     local_port: int
     remote_port: int
-    is_open: bool
+    inode: int
     nbytes: int
 
 
@@ -57,7 +59,7 @@
             received, _, _, _, ahead, queued, options, backlog, _ = MEMORY.unpack_from(message, offset + 4)
             nbytes = received + ahead + queued + options + backlog
         offset += (length + 3) & ~3
-    return SocketMemory(local_port, remote_port, inode > 0, nbytes)
+    return SocketMemory(local_port, remote_port, inode, nbytes)
 
 
 def held_bytes(listen_port: int, server_ports: set[int]) -> int:
@@ -65,5 +67,15 @@
     others."""
     return sum(
         each.nbytes for each in tcp_sockets()
-        if each.is_open and (each.local_port == listen_port or each.remote_port in server_ports)
+        if each.inode and (each.local_port == listen_port or each.remote_port in server_ports)
     )  # fmt: skip
+
+
+def held_by_process(pid: int) -> int:
+    """What the kernel holds for the sockets of one process. Raises OSError if it has ended."""
+    folder = f"/proc/{pid}/fd"
+    names = set()
+    for name in os.listdir(folder):
+        with suppress(FileNotFoundError):
+            names.add(os.readlink(f"{folder}/{name}"))
+    return sum(each.nbytes for each in tcp_sockets() if f"socket:[{each.inode}]" in names)
--- a/tests/test_connection_set.py
+++ b/tests/test_connection_set.py
@@ -147,6 +147,7 @@
         await until(lambda: bool(it.server.streaming))
         reset(writer)
 
+    it.accepted.limit_send_buffers(len(BODY) * 2)  # so that the endpoint is read to its end
     it.endpoint.answer = break_off
     await it.connect(raw_call("once"))
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -165,8 +165,8 @@
     loop = asyncio.get_running_loop()
     connect = loop.create_connection
 
-    async def connect_then_lose(*args: Any) -> Any:
-        transport, protocol = await connect(*args)
+    async def connect_then_lose(*args: Any, **options: Any) -> Any:
+        transport, protocol = await connect(*args, **options)
         await until(transport.is_closing)
         return transport, protocol
 
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -17,6 +17,7 @@
 from anisespool.config import Address
 from anisespool.endpoints import endpoints
 from anisespool.front import server, timeouts
+from anisespool.socket_state import unacknowledged_bytes
 from tests.net import (
     Endpoint,
     free_port,
@@ -113,7 +114,8 @@
 ) -> None:
     async def handler(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.write(FRAMINGS[way][:200_000])
-        await writer.drain()
+        descriptor, transport = writer.get_extra_info("socket").fileno(), writer.transport
+        await until(lambda: not (transport.get_write_buffer_size() or unacknowledged_bytes(descriptor)))
         reset(writer)
 
     async with Endpoint(handler).serve() as endpoint, harness(tmp_path, endpoint) as it:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -158,6 +158,17 @@
     assert parts == limit
 
 
+@pytest.mark.parametrize(
+    ("limit_mb", "other_mb", "left_mb"), [(64, 0, 40.0), (64, 14, 25.0), (32, 0, 9.0), (32, 14, 2.5)]
+)
+def test_program_files_count_where_the_limit_leaves_room_beside_them(
+    limit_mb: int, other_mb: int, left_mb: float
+) -> None:
+    limit, at_rest, program = limit_mb * 10**6, 14 * 10**6, 8 * 10**6
+    account = Account(limit, at_rest, at_rest, other_mb * 10**6, 0, program=program)
+    assert account.for_connections == left_mb * 10**6
+
+
 def test_a_process_larger_than_its_limit_still_serves_a_little() -> None:
     account = Account(8 * 10**6, 14 * 10**6, 14 * 10**6, 0, 0)
     assert account.for_connections == account.min_for_connections == 62_500
@@ -176,7 +187,8 @@
     )
     monitor.start()
     alone = budget.limit_bytes
-    assert alone == limit - monitor.account.at_rest - 10**6 - limit // MARGIN_SHARE
+    assert monitor.account.program > 10**6
+    assert alone == limit - monitor.account.at_rest - 10**6 - limit // MARGIN_SHARE - monitor.account.program
     others[0] = os.getpid()
     budget.refresh()
     assert alone - budget.limit_bytes >= own_bytes // 2
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -57,3 +57,21 @@
 ) -> None:
     figures = await play(tmp_path, kind, CROWD_CLIENTS, CROWD_MEMORY_MB, MAX_SOCKETS)
     assert figures.peak_with_program_mb < CROWD_MEMORY_MB, figures
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize(("clients", "memory_mb"), [(CROWD_CLIENTS, CROWD_MEMORY_MB), (340, MIN_MEMORY_MB)])
+async def test_answers_that_nobody_reads_take_a_process_over_its_limit_in_the_kernel(
+    tmp_path: Path, clients: int, memory_mb: int
+) -> None:
+    figures = await play(tmp_path, "unread_answers", clients, memory_mb, MAX_SOCKETS)
+    assert figures.peak_with_kernel_mb < memory_mb, figures
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("kind", ["half_uploads", "long_readers", "mixed"])
+async def test_a_crowd_that_is_there_before_a_killed_process_listens_takes_it_over_its_limit(
+    tmp_path: Path, kind: str
+) -> None:
+    figures = await play_restarts(tmp_path, kind, CROWD_CLIENTS, CROWD_MEMORY_MB, MAX_SOCKETS)
+    assert figures.peak_with_program_mb < CROWD_MEMORY_MB, figures
