--- a/anisespool/front/client_connection.py
+++ b/anisespool/front/client_connection.py
@@ -67,6 +67,12 @@
         is_busy = self._busy and not self.has_stalled_upload
         return not (is_busy or self._queue or is_receiving or self._writer.undelivered_bytes)
 
+    @property
+    def is_half_written(self) -> bool:
+        """Whether the client is in the middle of its first request here, and that is not in progress."""
+        is_in_use = self._has_served or self._closing or self._busy or self._queue
+        return self._parser.partial and not is_in_use
+
     @property
     def has_stalled_upload(self) -> bool:
         """Whether the client has stopped in the middle of a long body, although it is read. The request has
@@ -87,7 +93,15 @@
         It leaves the server's set at once, so as not to be chosen again. That is safe only because `abort`
         waits for nothing: the event loop closes the socket in its next iteration, whatever is unsent.
         """
-        if not self._transport or not self._closing and self.has_unread():
+        return (self._closing or not self.has_unread()) and self._evict()
+
+    def evict_half_written(self) -> bool:
+        """The same in the middle of the first request, whatever of it is unread: it has failed then, which
+        is no worse than a client that waits for a place."""
+        return self._evict()
+
+    def _evict(self) -> bool:
+        if not self._transport:
             return False
         TELEMETRY.count("clients evicted")
         if self._parser.partial and not self._closing:
--- a/anisespool/front/eviction.py
+++ b/anisespool/front/eviction.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import time
-from operator import itemgetter
+from collections.abc import Callable
+from operator import attrgetter, itemgetter, methodcaller
 
 from anisespool.front.client_connection import ClientConnection
 
@@ -18,9 +19,13 @@
     unknown time.
     """
 
-    def __init__(self, connections: set[ClientConnection]) -> None:
-        """`connections`: all open ones, kept up to date by the owner."""
-        self._connections = connections
+    def __init__(
+        self, connections: set[ClientConnection], may_evict: Callable[[ClientConnection], bool],
+        evict: Callable[[ClientConnection], bool],
+    ) -> None:  # fmt: skip
+        """`connections`: all open ones, kept up to date by the owner. `evict` returns whether the connection
+        is closed."""
+        self._connections, self._may_evict, self._evict = connections, may_evict, evict
         self._order: list[tuple[float, ClientConnection]] = []  # by score; the last is evicted first
         self._sorted_at = -ORDER_LIFETIME_S  # monotonic seconds
 
@@ -31,7 +36,7 @@
             return True
         self._sorted_at = now
         self._order = sorted(
-            ((c.idle_score(now), c) for c in self._connections if c.is_evictable), key=itemgetter(0)
+            ((c.idle_score(now), c) for c in self._connections if self._may_evict(c)), key=itemgetter(0)
         )
         return self._evict_idlest(now, excluded)
 
@@ -47,9 +52,19 @@
         """Evict the first connection in the order that has not become active since it was sorted."""
         while self._order:
             idle_score, connection = self._order.pop()
-            is_kept = (
-                connection is excluded or connection not in self._connections or not connection.is_evictable
-            )
-            if not is_kept and connection.idle_score(now) >= idle_score and connection.evict():
+            is_kept = connection is excluded or connection not in self._connections
+            if is_kept or not self._may_evict(connection) or connection.idle_score(now) < idle_score:
+                continue
+            if self._evict(connection):
                 return True
         return False
+
+
+def idle_first(connections: set[ClientConnection]) -> EvictionOrder:
+    """Evicts connections that have nothing in progress."""
+    return EvictionOrder(connections, attrgetter("is_evictable"), methodcaller("evict"))
+
+
+def half_written_only(connections: set[ClientConnection]) -> EvictionOrder:
+    """Evicts connections in the middle of their first request, for clients that would have to wait."""
+    return EvictionOrder(connections, attrgetter("is_half_written"), methodcaller("evict_half_written"))
--- a/anisespool/front/server.py
+++ b/anisespool/front/server.py
@@ -15,7 +15,7 @@
 from anisespool.front.client_connection import ClientConnection
 from anisespool.front.client_reader import PausedConnections
 from anisespool.front.connection_ceiling import connection_ceiling
-from anisespool.front.eviction import EvictionOrder
+from anisespool.front.eviction import half_written_only, idle_first
 from anisespool.front.listener import Acceptor, adopt_listener, open_listener
 from anisespool.front.request_reader import CONNECTION_BYTES
 from anisespool.front.responder import Responder
@@ -63,7 +63,8 @@
         self._acceptor: Acceptor | None = None
         self._shares_listener = False  # another process accepts from it too, and takes what is queued
         self._accept_tasks: set[asyncio.Task[None]] = set()
-        self._eviction = EvictionOrder(self.connections)
+        self._eviction = idle_first(self.connections)
+        self._replacement = half_written_only(self.connections)
 
     @property
     def stopping(self) -> bool:
@@ -77,8 +78,7 @@
         return len(self.connections) > self._max_connections
 
     def set_connection_limit(self, max_connections: int) -> None:
-        """Change the limit, and evict what exceeds it: during an upgrade two processes share the descriptors,
-        and connections over the limit would use those of the other process."""
+        """Change the limit, and evict what exceeds it: two processes of an upgrade share the descriptors."""
         self._max_connections = max_connections
         while self.over_connection_limit and self.make_room():
             pass
@@ -116,12 +116,12 @@
             nbytes -= connection.release_memory()
 
     async def sweep(self) -> None:
-        """Enforce the timeouts of all connections periodically. A client may stay connected without sending a
-        complete request, or without reading its response."""
+        """Enforce the timeouts periodically, of clients that send no complete request or do not read."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = time.monotonic()
             self._eviction.drop_if_stale(now)
+            self._replacement.drop_if_stale(now)
             for connection in list(self.connections):
                 connection.enforce_timeouts(now)
 
@@ -167,7 +167,8 @@
         """Whether one more connection may be accepted. Those over the limit of connections are there to be
         refused, and have descriptors of their own."""
         count = len(self.connections) + len(self._accept_tasks)
-        if count < connection_ceiling(self._max_connections) or self.make_room():
+        is_below = count < connection_ceiling(self._max_connections)
+        if is_below or self._replacement.evict_one() or self.make_room():
             return self._has_memory_for_connection()
         TELEMETRY.count("accepts put off for descriptors")
         return False
