Read dropped bodies without memory, and let heads wait for it a second at most

Callers saw a sidecar that took no more clients, for good, once a crowd had gone.

A dropped body, and a head, waited for memory as well, with no limit of time; 356 of them took all of it. Their clients had gone with more in their kernels than fits here, so no end of them could be seen.

Reading a body that is dropped needs no memory and frees the kernel's part; a head is answered 503 after a second, as a partial body was.

--- a/anisespool/front/request_reader.py
+++ b/anisespool/front/request_reader.py
@@ -89,8 +89,12 @@
 
     def record_unread(self) -> None:
         super().record_unread()
-        if PauseReason.MEMORY in self._pause_reasons and self._has_waited_for_memory():
+        if PauseReason.MEMORY not in self._pause_reasons:
+            return
+        if self._has_waited_for_memory():
             self._refuse_body()
+        elif self._has_head_waited_for_memory():
+            self._refuse_incomplete()
 
     def _account(self) -> None:
         """Report the memory that this connection takes."""
@@ -123,7 +127,10 @@
         return Priority.READ_AHEAD if self._has_requests_before else Priority.NEXT
 
     def _may_read_on(self) -> bool:
-        """Whether there is memory for what follows. Reserves what the body takes that is being received."""
+        """Whether there is memory for what follows. Reserves what the body takes that is being received. To
+        read one that is dropped takes none, and frees what the kernel holds of it."""
+        if self._parser.refuses_body:
+            return True
         memory, needed_bytes = self._server.memory, self._needed_bytes
         if needed_bytes and not self._reserved_bytes:
             if not memory.may_take(needed_bytes, self._priority):
@@ -171,6 +178,13 @@
             wait_ns = min(wait_ns, MAX_PARTIAL_WAIT_NS)
         return time.monotonic_ns() > self._arrival_times.last_arrived_ns + wait_ns
 
+    def _has_head_waited_for_memory(self) -> bool:
+        """Whether a request has waited for as long as it may whose head is being received. The kernel's part
+        of all that wait counts, so they could wait for each other for good."""
+        is_head = self._priority is Priority.NEXT and not self._parser.in_body
+        waited_s = time.monotonic() - self._waiting_for_memory_since
+        return is_head and waited_s > MAX_PARTIAL_WAIT_NS / 1e9
+
     def _refuse_incomplete(self) -> None:
         """Refuse the request that is being received, now and with the end of the connection."""
         raise NotImplementedError
--- a/anisespool/http1/request_parser.py
+++ b/anisespool/http1/request_parser.py
@@ -49,7 +49,7 @@
         self._body_parts: list[bytes] = []  # of the body, in the bytes that are being parsed
         # The library's callback: a method of ours would take most of the time that small chunks take.
         self.on_body = self._body_parts.append
-        self._refuses_body = False  # the body that is being received is dropped
+        self.refuses_body = False  # the body that is being received is dropped
         self._parser = httptools.HttpRequestParser(self)
         self.on_message_begin()
 
@@ -86,7 +86,7 @@
     @property
     def buffered_body_limit_bytes(self) -> int:
         """How long the body that is being received may become in memory; 0 if none is, or it is streamed."""
-        if not self.in_body or self._body_stream or self._refuses_body:
+        if not self.in_body or self._body_stream or self.refuses_body:
             return 0
         length = self._message.length()
         return MAX_BUFFERED_BODY_BYTES if length is None else length
@@ -150,7 +150,7 @@
 
     def refuse_body(self) -> None:
         """Drop the body that is being received. The request is complete with its last byte all the same."""
-        self._refuses_body = True
+        self.refuses_body = True
         self._message.take_body()
 
     def discard(self) -> None:
@@ -167,7 +167,7 @@
 
     def on_message_begin(self) -> None:
         self._target, self._message, self._started = b"", PartialMessage(REQUEST_HEADERS), False
-        self.body_bytes, self._body_stream, self._refuses_body = 0, None, False
+        self.body_bytes, self._body_stream, self.refuses_body = 0, None, False
 
     def on_url(self, url: bytes) -> None:
         self._started = True
@@ -204,7 +204,7 @@
             return
         if self.body_bytes > MAX_STREAMED_BODY_BYTES:
             self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        elif self._refuses_body:
+        elif self.refuses_body:
             pass
         elif self._body_stream:
             self._unstreamed += data
@@ -228,7 +228,7 @@
         parser, message = self._parser, self._message
         return Request(
             parser.get_method(), origin_form(self._target), message.headers, body, parser.should_keep_alive(),
-            body_stream, parser.get_http_version(), self._refuses_body,
+            body_stream, parser.get_http_version(), self.refuses_body,
         )  # fmt: skip
 
     def on_message_complete(self) -> None:
--- a/tests/test_memory_waits.py
+++ b/tests/test_memory_waits.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
+from http import HTTPStatus
 from pathlib import Path
 from time import monotonic
 
@@ -164,3 +165,21 @@
             await sidecar.task
             assert monotonic() - began < 2.0 + 0.7  # SIGKILL: the longest deadline and 0.7 s more
         writer.close()
+
+
+@pytest.mark.parametrize("is_whole", [True, False])
+async def test_what_needs_no_memory_waits_for_good_until_there_is_some(
+    tmp_path: Path, is_whole: bool
+) -> None:
+    """All waited that the kernel held something for, which took the memory: dropped bodies, and heads."""
+    async with Endpoint().serve() as endpoint, harness(tmp_path, endpoint) as it:
+        holding = Holding(it.service._memory)
+        holding.set(2 * it.service._memory.limit_bytes)
+        reader, writer = await asyncio.open_connection(*it.address)
+        request = raw_call("once", left_ms=1000, body=BODY)
+        writer.write(request if is_whole else request[:40])
+        async with asyncio.timeout(2.0):
+            assert (await read_response(reader)).status == HTTPStatus.SERVICE_UNAVAILABLE
+        holding.release()
+        assert (await exchange(it.address, raw_call())).status == HTTPStatus.OK
+        writer.close()
